--- /dev/null
+++ b/core/view/view_test.go
@@ -0,0 +1,22 @@
+package view
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestVersionOrdersByEpochThenNumber(t *testing.T) {
+	is := is.New(t)
+	is.True(Version{2, 0}.Newer(Version{1, 9}))
+	is.True(Version{1, 2}.Newer(Version{1, 1}))
+	is.True(!Version{1, 1}.Newer(Version{1, 1}))
+}
+
+func TestFindUsesSortedMembers(t *testing.T) {
+	is := is.New(t)
+	v := New(1, Version{1, 1}, []BackendServer{{ID: "b"}, {ID: "a"}})
+	is.Equal(v.Find("a"), 0)
+	is.Equal(v.Find("b"), 1)
+	is.Equal(v.Find("c"), -1)
+}
--- /dev/null
+++ b/daemon/cmd/fulmarctl/main.go
@@ -0,0 +1,4 @@
+// Command fulmarctl is the operators' tool.
+package main
+
+func main() {}
