Envelopes, sockets, peer connections and thin roles

Cause: nothing carried a packet yet. Change: sealed envelopes with replay windows, datagram sockets that report and choose addresses, QUIC peer streams with CBOR messages, and thin balancer, agent and control roles. Control pushes its whole state on every change.

--- /dev/null
+++ b/daemon/internal/packet/packet_test.go
@@ -0,0 +1,185 @@
+package packet
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fulmarmount.org/core/view"
+)
+
+type ring struct {
+	active uint8
+	keys   map[uint8][]byte
+}
+
+func (r *ring) Active() (uint8, []byte) { return r.active, r.keys[r.active] }
+
+func (r *ring) Secret(id uint8) ([]byte, bool) {
+	k, ok := r.keys[id]
+	return k, ok
+}
+
+func newRing() *ring {
+	return &ring{active: 1, keys: map[uint8][]byte{1: make([]byte, 32)}}
+}
+
+var epoch = time.Unix(0, 0)
+
+func still() time.Time { return epoch }
+
+func header() Header {
+	return Header{
+		Kind: Forward, Fresh: true, Hops: 3, Service: 7,
+		View: view.Version{Epoch: 2, Number: 9}, Incarnation: 11,
+		Caller:  netip.MustParseAddrPort("127.0.0.9:4000"),
+		Address: netip.MustParseAddrPort("127.0.1.1:443"),
+		ReplyTo: netip.MustParseAddrPort("127.0.0.2:7000"),
+	}
+}
+
+func TestEnvelopeRoundTrip(t *testing.T) {
+	short, prior, wide := header(), header(), header()
+	prior.Prior, prior.PriorIncarnation = netip.MustParseAddrPort("127.0.0.3:7001"), 5
+	wide.Caller = netip.MustParseAddrPort("[2001:db8::1]:4000")
+	wide.Prior, wide.PriorIncarnation = netip.MustParseAddrPort("127.0.0.3:7001"), 5
+	for name, h := range map[string]Header{"short": short, "prior": prior, "wide": wide} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			keys := newRing()
+			b, err := NewSealer(keys, 42).Seal(nil, &h, []byte("payload"))
+			is.NoErr(err)
+			is.True(len(b) <= len("payload")+MaxOverhead)
+			var got Header
+			payload, err := NewOpener(keys, still).Open(b, &got)
+			is.NoErr(err)
+			is.Equal(string(payload), "payload")
+			is.Equal(got, h)
+		})
+	}
+}
+
+func TestOpenRefuses(t *testing.T) {
+	keys := newRing()
+	h := header()
+	sealed, err := NewSealer(keys, 42).Seal(nil, &h, []byte("payload"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	flip := func(i int) []byte {
+		b := append([]byte(nil), sealed...)
+		b[i] ^= 1
+		return b
+	}
+	other := &ring{active: 2, keys: map[uint8][]byte{2: make([]byte, 32)}}
+	cases := []struct {
+		name string
+		keys Keys
+		data []byte
+		want error
+	}{
+		{"empty", keys, nil, ErrMalformed},
+		{"not an envelope", keys, []byte("GET / HTTP/1.1"), ErrMalformed},
+		{"cut in the header", keys, sealed[:fixedSize+3], ErrMalformed},
+		{"cut in the tag", keys, sealed[:len(sealed)-1], ErrForged},
+		{"changed service", keys, flip(23), ErrForged},
+		{"changed payload", keys, flip(len(sealed) - TagSize - 1), ErrForged},
+		{"changed session", keys, flip(sessionOffset), ErrForged},
+		{"changed sequence", keys, flip(sequenceOffset + 7), ErrForged},
+		{"key not in the ring", other, sealed, ErrUnknownKey},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var got Header
+			_, err := NewOpener(c.keys, still).Open(c.data, &got)
+			is.Equal(err, c.want)
+		})
+	}
+}
+
+func TestReplayIsRefusedOnceAndReorderAccepted(t *testing.T) {
+	is := is.New(t)
+	keys := newRing()
+	s, o, h := NewSealer(keys, 42), NewOpener(keys, still), header()
+	var sealed [][]byte
+	for range 3 {
+		b, err := s.Seal(nil, &h, nil)
+		is.NoErr(err)
+		sealed = append(sealed, b)
+	}
+	for _, i := range []int{2, 0, 1} {
+		_, err := o.Open(sealed[i], &h)
+		is.NoErr(err)
+		_, err = o.Open(sealed[i], &h)
+		is.Equal(err, ErrReplayed)
+	}
+}
+
+func TestRotationKeepsOldEnvelopesUntilTheKeyLeaves(t *testing.T) {
+	is := is.New(t)
+	keys := newRing()
+	s, o, h := NewSealer(keys, 42), NewOpener(keys, still), header()
+	old, err := s.Seal(nil, &h, nil)
+	is.NoErr(err)
+	keys.keys[2], keys.active = []byte("another secret of 32 bytes......"), 2
+	fresh, err := s.Seal(nil, &h, nil)
+	is.NoErr(err)
+	is.Equal(fresh[3], uint8(2))
+	_, err = o.Open(old, &h)
+	is.NoErr(err)
+	_, err = o.Open(fresh, &h)
+	is.NoErr(err)
+	delete(keys.keys, 1)
+	_, err = o.Open(old, &h)
+	is.Equal(err, ErrUnknownKey)
+}
+
+func TestWindow(t *testing.T) {
+	is := is.New(t)
+	var w window
+	is.True(!w.accept(0))
+	is.True(w.accept(10))
+	is.True(w.accept(3))
+	is.True(!w.accept(3))
+	is.True(w.accept(10 + windowBits))
+	is.True(!w.accept(10))
+	is.True(w.accept(11))
+	is.True(w.accept(11 + 3*windowBits))
+	is.True(!w.accept(11))
+	is.True(w.accept(12 + 2*windowBits))
+}
+
+func FuzzOpen(f *testing.F) {
+	h := header()
+	b, err := NewSealer(newRing(), 42).Seal(nil, &h, []byte("payload"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var got Header
+		payload, err := NewOpener(newRing(), still).Open(data, &got)
+		if err == nil && string(payload) != "payload" {
+			t.Fatalf("an envelope that was never sealed opened to %q", payload)
+		}
+	})
+}
+
+func BenchmarkSealOpen(b *testing.B) {
+	keys, h := newRing(), header()
+	s, o := NewSealer(keys, 42), NewOpener(keys, time.Now)
+	payload, buf := make([]byte, 1250), make([]byte, 0, 1500)
+	b.ReportAllocs()
+	for b.Loop() {
+		sealed, err := s.Seal(buf, &h, payload)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := o.Open(sealed, &h); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/internal/peer/server.go
@@ -0,0 +1,127 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
+)
+
+// Identity is who a peer's certificate says it is.
+type Identity struct {
+	// Name is the VM's name.
+	Name string
+	// Roles are the roles the certificate allows.
+	Roles []string
+}
+
+// Has reports whether the certificate allows a role.
+func (i Identity) Has(role string) bool { return slices.Contains(i.Roles, role) }
+
+// Handler serves one stream and returns when it is done. The stream is closed
+// for writing afterwards.
+type Handler func(ctx context.Context, from Identity, s *Stream)
+
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	// Addr is the UDP address to bind.
+	Addr netip.AddrPort
+	// TLS must ask for and check client certificates.
+	TLS *tls.Config
+	// Handlers by stream kind; a stream of another kind is refused.
+	Handlers map[string]Handler
+	// Log receives one line per refused stream.
+	Log *zap.Logger
+}
+
+// Server accepts connections of other processes.
+type Server struct {
+	options  ServerOptions
+	listener *quic.Listener
+	cancel   context.CancelFunc
+	streams  sync.WaitGroup
+}
+
+// Listen opens the socket and starts to accept.
+func Listen(o ServerOptions) (*Server, error) {
+	listener, err := quic.ListenAddr(o.Addr.String(), o.TLS, transport())
+	if err != nil {
+		return nil, ListenFailed.Wrap(err, "listen on %s", o.Addr)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{options: o, listener: listener, cancel: cancel}
+	go s.accept(ctx)
+	return s, nil
+}
+
+// Addr returns the bound address.
+func (s *Server) Addr() netip.AddrPort {
+	return netip.MustParseAddrPort(s.listener.Addr().String())
+}
+
+// Close ends all streams and closes the socket.
+func (s *Server) Close() error {
+	s.cancel()
+	err := s.listener.Close()
+	s.streams.Wait()
+	return err
+}
+
+func (s *Server) accept(ctx context.Context) {
+	for {
+		conn, err := s.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		go s.serve(ctx, conn)
+	}
+}
+
+// serve accepts the streams of one connection until it ends.
+func (s *Server) serve(ctx context.Context, conn *quic.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.CloseWithError(closedCode, "server stops") })
+	defer stop()
+	from := identity(conn.ConnectionState().TLS)
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		s.streams.Add(1)
+		go func() {
+			defer s.streams.Done()
+			s.handle(conn.Context(), from, &Stream{Stream: stream})
+		}()
+	}
+}
+
+func (s *Server) handle(ctx context.Context, from Identity, stream *Stream) {
+	var first opening
+	if err := stream.Recv(&first); err != nil {
+		stream.Abort()
+		return
+	}
+	handler, ok := s.options.Handlers[first.Kind]
+	if !ok {
+		s.options.Log.Warn("Refused a stream of unknown kind.",
+			zap.String("kind", first.Kind), zap.String("peer", from.Name))
+		stream.CancelRead(refusedCode)
+		stream.CancelWrite(refusedCode)
+		return
+	}
+	handler(ctx, from, stream)
+	_ = stream.Close()
+}
+
+// identity reads name and roles from the peer's certificate.
+func identity(state tls.ConnectionState) Identity {
+	if len(state.PeerCertificates) == 0 {
+		return Identity{}
+	}
+	subject := state.PeerCertificates[0].Subject
+	return Identity{Name: subject.CommonName, Roles: subject.OrganizationalUnit}
+}
--- /dev/null
+++ b/daemon/internal/proto/proto.go
@@ -0,0 +1,74 @@
+// Package proto holds the messages that the processes of a fleet exchange over
+// peer streams, and the kinds of those streams.
+package proto
+
+import (
+	"net/netip"
+	"time"
+
+	"fulmarmount.org/core/view"
+)
+
+// The kinds of stream.
+const (
+	// Announce: an agent to control; view.Announcement one way, AnnounceReply back.
+	Announce = "announce"
+	// Subscribe: a daemon to control; Hello one way, Update back.
+	Subscribe = "subscribe"
+	// Tunnel: a balancer to an agent; TunnelOpen, TunnelReply, then raw bytes
+	// both ways.
+	Tunnel = "tunnel"
+)
+
+// AnnounceReply answers one announcement.
+type AnnounceReply struct {
+	Accepted bool `cbor:"1,keyasint"`
+	// Reason tells why an announcement was refused.
+	Reason string `cbor:"2,keyasint,omitempty"`
+	// Lease is how long the announcement holds without a renewal.
+	Lease time.Duration `cbor:"3,keyasint"`
+}
+
+// Hello is a daemon's first message on a Subscribe stream.
+type Hello struct {
+	Name string `cbor:"1,keyasint"`
+	Role string `cbor:"2,keyasint"`
+}
+
+// Mode is how a service is balanced.
+type Mode string
+
+// The modes of a service.
+const (
+	ModePacket Mode = "packet" // UDP datagrams, flow by flow
+	ModeStream Mode = "stream" // TCP connections
+)
+
+// Service is what daemons need to know of a service.
+type Service struct {
+	ID        view.ServiceID   `cbor:"1,keyasint"`
+	Name      string           `cbor:"2,keyasint"`
+	Mode      Mode             `cbor:"3,keyasint"`
+	Addresses []netip.AddrPort `cbor:"4,keyasint"`
+}
+
+// Update is the state of the fleet as one control process knows it.
+type Update struct {
+	Version  view.Version `cbor:"1,keyasint"`
+	Services []Service    `cbor:"2,keyasint"`
+	Views    []*view.View `cbor:"3,keyasint"`
+}
+
+// TunnelOpen asks an agent to connect to its backend server.
+type TunnelOpen struct {
+	Service     view.ServiceID   `cbor:"1,keyasint"`
+	Incarnation view.Incarnation `cbor:"2,keyasint"`
+	Caller      netip.AddrPort   `cbor:"3,keyasint"`
+}
+
+// TunnelReply tells whether the agent connected. Where it did not, no byte has
+// reached a backend server and the balancer may try another agent.
+type TunnelReply struct {
+	Connected bool   `cbor:"1,keyasint"`
+	Reason    string `cbor:"2,keyasint,omitempty"`
+}
--- /dev/null
+++ b/daemon/internal/role/agent/agent.go
@@ -0,0 +1,136 @@
+// Package agent runs the agent role beside one backend server. The agent owns
+// the flows that its backend server serves; no other process decides about them.
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/packet"
+	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/daemon/internal/subscribe"
+	"fulmarmount.org/daemon/internal/udp"
+)
+
+// Options configure an Agent.
+type Options struct {
+	// ID names the backend server and survives restarts.
+	ID string
+	// Service is the name of the service that the backend server serves.
+	Service string
+	// Zone is the availability zone.
+	Zone string
+	// Incarnation numbers this run; it must be greater than any earlier run's.
+	Incarnation view.Incarnation
+	// Backend is the backend server's address, for UDP and TCP.
+	Backend netip.AddrPort
+	// Packets is the UDP address for envelopes.
+	Packets netip.AddrPort
+	// Requests is the UDP address for peer connections.
+	Requests netip.AddrPort
+	// Slots is the number of requests the backend server runs at once.
+	Slots uint16
+	// IdleTimeout ends a flow that has carried nothing for that long.
+	IdleTimeout time.Duration
+	// MTU is the largest IP packet in bytes between balancers and agents.
+	MTU int
+	// ReadBuffer is the kernel's receive buffer of the envelope socket in bytes.
+	ReadBuffer int
+	// Control are the addresses of control processes.
+	Control []netip.AddrPort
+	// ServerTLS and ClientTLS are both ends of peer connections.
+	ServerTLS *tls.Config
+	ClientTLS *tls.Config
+	// Keys seal the envelopes.
+	Keys packet.Keys
+	// Session is a random number for this run's envelopes.
+	Session uint64
+	// Now is the clock.
+	Now func() time.Time
+	Log *zap.Logger
+}
+
+// Agent is one running agent.
+type Agent struct {
+	options   Options
+	flows     flows
+	stats     Stats
+	service   atomic.Uint32
+	sealer    *packet.Sealer
+	opener    *packet.Opener
+	envelopes *udp.Conn
+	server    *peer.Server
+	pool      *peer.Pool
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
+}
+
+// Start opens the sockets, announces the backend server and serves until Close.
+func Start(o Options) (*Agent, error) {
+	envelopes, err := udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: o.ReadBuffer})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &Agent{
+		options:   o,
+		sealer:    packet.NewSealer(o.Keys, o.Session),
+		opener:    packet.NewOpener(o.Keys, o.Now),
+		envelopes: envelopes,
+		pool:      peer.NewPool(o.ClientTLS),
+		cancel:    cancel,
+	}
+	a.flows.init()
+	a.server, err = peer.Listen(peer.ServerOptions{
+		Addr:     o.Requests,
+		TLS:      o.ServerTLS,
+		Log:      o.Log,
+		Handlers: map[string]peer.Handler{proto.Tunnel: a.tunnel},
+	})
+	if err != nil {
+		cancel()
+		_ = envelopes.Close()
+		return nil, err
+	}
+	a.tasks.Go(a.readEnvelopes)
+	a.tasks.Go(func() { a.sweep(ctx) })
+	a.tasks.Go(func() { a.announce(ctx) })
+	a.tasks.Go(func() {
+		subscribe.Run(ctx, subscribe.Options{
+			Control: o.Control,
+			Pool:    a.pool,
+			Hello:   proto.Hello{Name: o.ID, Role: "agent"},
+			Adopt:   a.adopt,
+			Log:     o.Log,
+		})
+	})
+	return a, nil
+}
+
+// Close ends every flow and closes the sockets.
+func (a *Agent) Close() error {
+	a.cancel()
+	err := a.envelopes.Close()
+	a.flows.closeAll()
+	_ = a.server.Close()
+	a.pool.Close()
+	a.tasks.Wait()
+	return err
+}
+
+// adopt notes the ID of the agent's own service.
+func (a *Agent) adopt(u proto.Update) {
+	for _, s := range u.Services {
+		if s.Name == a.options.Service {
+			a.service.Store(uint32(s.ID))
+		}
+	}
+}
--- /dev/null
+++ b/daemon/internal/role/agent/flows.go
@@ -0,0 +1,89 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fulmarmount.org/core/flow"
+)
+
+const flowShards = 64
+
+// flows holds the sockets of the flows that the agent owns, in shards.
+type flows struct {
+	shards [flowShards]flowShard
+}
+
+type flowShard struct {
+	mu    sync.Mutex
+	flows map[flow.Tuple]*ownedFlow
+}
+
+// ownedFlow is one flow's connected socket to the backend server.
+type ownedFlow struct {
+	tuple   flow.Tuple
+	conn    *net.UDPConn
+	replyTo atomic.Pointer[netip.AddrPort]
+	seen    atomic.Int64 // Unix time in nanoseconds
+}
+
+func (f *flows) init() {
+	for i := range f.shards {
+		f.shards[i].flows = make(map[flow.Tuple]*ownedFlow)
+	}
+}
+
+// get returns the flow of a tuple, and opens it with dial where it is new.
+func (f *flows) get(tuple flow.Tuple, dial func() (*ownedFlow, error)) (*ownedFlow, bool, error) {
+	s := &f.shards[tuple.Key()%flowShards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o := s.flows[tuple]; o != nil {
+		return o, false, nil
+	}
+	o, err := dial()
+	if err != nil {
+		return nil, false, err
+	}
+	s.flows[tuple] = o
+	return o, true, nil
+}
+
+// touch notes that the flow carried a packet, and through which balancer.
+func (o *ownedFlow) touch(now time.Time, replyTo netip.AddrPort) {
+	o.seen.Store(now.UnixNano())
+	if p := o.replyTo.Load(); p == nil || *p != replyTo {
+		o.replyTo.Store(&replyTo)
+	}
+}
+
+// expire closes the flows that have been idle since before the limit.
+func (f *flows) expire(limit time.Time) {
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mu.Lock()
+		for tuple, o := range s.flows {
+			if o.seen.Load() < limit.UnixNano() {
+				_ = o.conn.Close()
+				delete(s.flows, tuple)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// closeAll closes every flow.
+func (f *flows) closeAll() {
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mu.Lock()
+		for tuple, o := range s.flows {
+			_ = o.conn.Close()
+			delete(s.flows, tuple)
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/daemon/internal/role/balancer/balancer.go
@@ -0,0 +1,170 @@
+// Package balancer runs the balancer role: it takes callers' datagrams and
+// connections on the service addresses and forwards them to agents. It keeps
+// no state that a flow depends on.
+package balancer
+
+import (
+	"context"
+	"crypto/tls"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/packet"
+	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/daemon/internal/subscribe"
+	"fulmarmount.org/daemon/internal/udp"
+)
+
+// Options configure a Balancer.
+type Options struct {
+	// Name is the VM's name.
+	Name string
+	// Control are the addresses of control processes.
+	Control []netip.AddrPort
+	// Packets is the UDP address for envelopes to and from agents.
+	Packets netip.AddrPort
+	// Spray is the number of balancers on this host that share the service
+	// addresses packet by packet; 0 where the fabric does that.
+	Spray int
+	// MTU is the largest IP packet in bytes between balancers and agents.
+	MTU int
+	// ReadBuffer is the kernel's receive buffer of each socket in bytes.
+	ReadBuffer int
+	// TLS connects to control and agents.
+	TLS *tls.Config
+	// Keys seal the envelopes.
+	Keys packet.Keys
+	// Session is a random number for this run's envelopes.
+	Session uint64
+	// Now is the clock.
+	Now func() time.Time
+	Log *zap.Logger
+}
+
+// ipUDPOverhead is the length of an IPv4 and a UDP header in bytes.
+const ipUDPOverhead = 28
+
+// Balancer is one running balancer.
+type Balancer struct {
+	options   Options
+	table     table
+	stats     Stats
+	sealer    *packet.Sealer
+	opener    *packet.Opener
+	envelopes *udp.Conn
+	pool      *peer.Pool
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
+
+	mu        sync.Mutex
+	listeners map[listenKey]listener
+}
+
+// listenKey names a listener of a service address.
+type listenKey struct {
+	mode proto.Mode
+	addr netip.AddrPort
+}
+
+// listener is a socket on a service address.
+type listener interface{ Close() error }
+
+// Start opens the envelope socket and follows control until Close.
+func Start(o Options) (*Balancer, error) {
+	envelopes, err := udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: o.ReadBuffer})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Balancer{
+		options:   o,
+		sealer:    packet.NewSealer(o.Keys, o.Session),
+		opener:    packet.NewOpener(o.Keys, o.Now),
+		envelopes: envelopes,
+		pool:      peer.NewPool(o.TLS),
+		cancel:    cancel,
+		listeners: make(map[listenKey]listener),
+	}
+	b.tasks.Go(b.readEnvelopes)
+	b.tasks.Go(func() {
+		subscribe.Run(ctx, subscribe.Options{
+			Control: o.Control,
+			Pool:    b.pool,
+			Hello:   proto.Hello{Name: o.Name, Role: "balancer"},
+			Adopt:   b.adopt,
+			Log:     o.Log,
+		})
+	})
+	return b, nil
+}
+
+// Close closes every socket. Flows go on through other balancers.
+func (b *Balancer) Close() error {
+	b.cancel()
+	b.mu.Lock()
+	for key, l := range b.listeners {
+		_ = l.Close()
+		delete(b.listeners, key)
+	}
+	b.mu.Unlock()
+	err := b.envelopes.Close()
+	b.pool.Close()
+	b.tasks.Wait()
+	return err
+}
+
+// adopt puts an update in force.
+func (b *Balancer) adopt(u proto.Update) {
+	if !b.table.adopt(u) {
+		return
+	}
+	b.reconcile(u.Services)
+}
+
+// reconcile opens and closes listeners so that they match the services.
+func (b *Balancer) reconcile(services []proto.Service) {
+	want := make(map[listenKey]bool)
+	for _, s := range services {
+		for _, addr := range s.Addresses {
+			want[listenKey{mode: s.Mode, addr: addr}] = true
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, l := range b.listeners {
+		if !want[key] {
+			_ = l.Close()
+			delete(b.listeners, key)
+		}
+	}
+	for key := range want {
+		if b.listeners[key] != nil {
+			continue
+		}
+		l, err := b.listen(key)
+		if err != nil {
+			b.options.Log.Error("Cannot serve an address.", zap.Stringer("address", key.addr), zap.Error(err))
+			continue
+		}
+		b.listeners[key] = l
+	}
+}
+
+func (b *Balancer) listen(key listenKey) (listener, error) {
+	if key.mode == proto.ModeStream {
+		return b.listenStream(key.addr)
+	}
+	return b.listenPacket(key.addr)
+}
+
+// target is the agent that a flow goes to.
+type target struct {
+	service view.ServiceID
+	view    view.Version
+	member  *view.BackendServer
+}
--- /dev/null
+++ b/daemon/internal/role/balancer/packets.go
@@ -0,0 +1,119 @@
+package balancer
+
+import (
+	"net/netip"
+	"sync/atomic"
+
+	"fulmarmount.org/core/flow"
+	"fulmarmount.org/daemon/internal/packet"
+	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/daemon/internal/udp"
+)
+
+// Stats counts what a balancer did with packets.
+type Stats struct {
+	Forwarded atomic.Uint64 // sent to an agent
+	Replied   atomic.Uint64 // sent to a caller
+	Unplaced  atomic.Uint64 // no such service, or no backend server takes new flows
+	Oversize  atomic.Uint64 // would not fit the MTU in an envelope
+	Refused   atomic.Uint64 // envelopes that were forged, replayed or not for here
+	Failed    atomic.Uint64 // the socket did not take the packet
+}
+
+// readBuffer is the length of a read buffer in bytes: the largest datagram.
+const readBuffer = 1 << 16
+
+// listenPacket serves datagrams on one service address.
+func (b *Balancer) listenPacket(addr netip.AddrPort) (listener, error) {
+	conn, err := udp.Listen(udp.Options{
+		Addr:       addr,
+		ReusePort:  b.options.Spray > 0,
+		Spray:      b.options.Spray,
+		ReadBuffer: b.options.ReadBuffer,
+	})
+	if err != nil {
+		return nil, err
+	}
+	b.tasks.Go(func() { b.readCallers(conn) })
+	return conn, nil
+}
+
+// readCallers forwards the datagrams of one service address.
+func (b *Balancer) readCallers(conn *udp.Conn) {
+	buf := make([]byte, readBuffer)
+	out := make([]byte, 0, readBuffer)
+	for {
+		n, from, to, err := conn.Read(buf)
+		if err != nil {
+			return
+		}
+		b.forward(flow.Tuple{Caller: from, Service: to}, buf[:n], out)
+	}
+}
+
+// forward sends one datagram to the agent that its flow is placed on.
+func (b *Balancer) forward(tuple flow.Tuple, payload, out []byte) {
+	t, ok := b.table.pick(tuple)
+	if !ok {
+		b.stats.Unplaced.Add(1)
+		return
+	}
+	header := packet.Header{
+		Kind:        packet.Forward,
+		Service:     t.service,
+		View:        t.view,
+		Incarnation: t.member.Incarnation,
+		Caller:      tuple.Caller,
+		Address:     tuple.Service,
+		ReplyTo:     b.envelopes.Addr(),
+	}
+	sealed, err := b.sealer.Seal(out, &header, payload)
+	if err != nil {
+		b.stats.Failed.Add(1)
+		return
+	}
+	if len(sealed)+ipUDPOverhead > b.options.MTU {
+		b.stats.Oversize.Add(1)
+		return
+	}
+	if err := b.envelopes.Write(sealed, t.member.Packets); err != nil {
+		b.stats.Failed.Add(1)
+		return
+	}
+	b.stats.Forwarded.Add(1)
+}
+
+// readEnvelopes sends the replies of agents to their callers.
+func (b *Balancer) readEnvelopes() {
+	buf := make([]byte, readBuffer)
+	var header packet.Header
+	for {
+		n, _, _, err := b.envelopes.Read(buf)
+		if err != nil {
+			return
+		}
+		payload, err := b.opener.Open(buf[:n], &header)
+		if err != nil || header.Kind != packet.Reply {
+			b.stats.Refused.Add(1)
+			continue
+		}
+		b.reply(&header, payload)
+	}
+}
+
+// reply sends one datagram to its caller from the service address.
+func (b *Balancer) reply(h *packet.Header, payload []byte) {
+	b.mu.Lock()
+	l := b.listeners[listenKey{mode: proto.ModePacket, addr: h.Address}]
+	b.mu.Unlock()
+	conn, ok := l.(*udp.Conn)
+	if !ok {
+		b.stats.Unplaced.Add(1)
+		return
+	}
+	if err := conn.WriteFrom(payload, h.Address.Addr(), h.Caller); err != nil {
+		b.stats.Failed.Add(1)
+		return
+	}
+	b.stats.Replied.Add(1)
+}
--- /dev/null
+++ b/daemon/internal/role/balancer/streams.go
@@ -0,0 +1,85 @@
+package balancer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarmount.org/core/flow"
+	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/daemon/internal/splice"
+)
+
+// tunnelLimit bounds the opening of a tunnel to a backend server.
+const tunnelLimit = 3 * time.Second
+
+// listenStream serves TCP connections on one service address. A connection
+// lives on this balancer: it ends with it.
+func (b *Balancer) listenStream(addr netip.AddrPort) (listener, error) {
+	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	b.tasks.Go(func() { b.acceptStreams(l) })
+	return l, nil
+}
+
+func (b *Balancer) acceptStreams(l *net.TCPListener) {
+	for {
+		conn, err := l.AcceptTCP()
+		if err != nil {
+			return
+		}
+		go b.serveStream(conn)
+	}
+}
+
+// serveStream carries one caller connection to its backend server.
+func (b *Balancer) serveStream(conn *net.TCPConn) {
+	tuple := flow.Tuple{
+		Caller:  conn.RemoteAddr().(*net.TCPAddr).AddrPort(),
+		Service: conn.LocalAddr().(*net.TCPAddr).AddrPort(),
+	}
+	t, ok := b.table.pick(tuple)
+	if !ok {
+		b.stats.Unplaced.Add(1)
+		splice.Reset(conn)
+		return
+	}
+	tunnel, err := b.openTunnel(t, tuple.Caller)
+	if err != nil {
+		b.options.Log.Warn("Cannot reach a backend server.", zap.String("id", t.member.ID), zap.Error(err))
+		b.stats.Failed.Add(1)
+		splice.Reset(conn)
+		return
+	}
+	splice.Both(conn, tunnel)
+}
+
+func (b *Balancer) openTunnel(t target, caller netip.AddrPort) (*peer.Stream, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), tunnelLimit)
+	defer cancel()
+	s, err := b.pool.Open(ctx, t.member.Requests, proto.Tunnel)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	open := proto.TunnelOpen{Service: t.service, Incarnation: t.member.Incarnation, Caller: caller}
+	if err := s.Send(open); err != nil {
+		return nil, err
+	}
+	var reply proto.TunnelReply
+	if err := s.Recv(&reply); err != nil {
+		return nil, err
+	}
+	if !reply.Connected {
+		s.Abort()
+		return nil, peer.DialFailed.New("agent of %q refused the tunnel: %s", t.member.ID, reply.Reason)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/daemon/internal/role/balancer/table.go
@@ -0,0 +1,59 @@
+package balancer
+
+import (
+	"net/netip"
+	"sync"
+
+	"fulmarmount.org/core/flow"
+	"fulmarmount.org/core/placement"
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/proto"
+)
+
+// table maps service addresses to services and their views.
+type table struct {
+	mu        sync.RWMutex
+	version   view.Version
+	addresses map[netip.AddrPort]view.ServiceID
+	views     map[view.ServiceID]*view.View
+}
+
+// adopt puts an update in force unless it is older than what is.
+func (t *table) adopt(u proto.Update) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !u.Version.Newer(t.version) {
+		return false
+	}
+	t.version = u.Version
+	t.addresses = make(map[netip.AddrPort]view.ServiceID)
+	for _, s := range u.Services {
+		for _, addr := range s.Addresses {
+			t.addresses[addr] = s.ID
+		}
+	}
+	t.views = make(map[view.ServiceID]*view.View, len(u.Views))
+	for _, v := range u.Views {
+		t.views[v.Service] = v
+	}
+	return true
+}
+
+// pick chooses the agent of a flow.
+func (t *table) pick(tuple flow.Tuple) (target, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	id, ok := t.addresses[tuple.Service]
+	if !ok {
+		return target{}, false
+	}
+	v := t.views[id]
+	if v == nil {
+		return target{}, false
+	}
+	i := placement.Pick(tuple.Key(), v)
+	if i == placement.None {
+		return target{}, false
+	}
+	return target{service: id, view: v.Version, member: &v.Members[i]}, true
+}
