--- a/core/view/view.go
+++ b/core/view/view.go
@@ -92,14 +92,46 @@
 	return b.Weight > 0 && (b.State == Warming || b.State == Ready)
 }
 
+// PlacementWeight returns Weight where b takes new flows, else 0.
+func (b *BackendServer) PlacementWeight() uint32 {
+	if b.TakesNew() {
+		return b.Weight
+	}
+	return 0
+}
+
 // View is the membership of one service at one version. Members are sorted by
 // ID. Treat a published View as read-only.
 type View struct {
 	Service ServiceID       `cbor:"1,keyasint"`
 	Version Version         `cbor:"2,keyasint"`
 	Members []BackendServer `cbor:"3,keyasint"`
+	// Earlier holds the placement weights of recent versions, newest first. A
+	// process that starts or skips versions learns from it where the flows of
+	// those versions were placed.
+	Earlier []Past `cbor:"4,keyasint,omitempty"`
+
+	seeds   []uint64
+	targets []Target
+	past    [][]Target
+}
 
-	seeds []uint64
+// Past is the placement weights of an earlier version of a view.
+type Past struct {
+	Version Version `cbor:"1,keyasint"`
+	// Weights has one entry per member of the current view, in its order. A
+	// member that took no new flows under Version has 0.
+	Weights []uint32 `cbor:"2,keyasint"`
+}
+
+// Target is a member that takes new flows, reduced to what placement needs.
+type Target struct {
+	// Seed is the member's hash seed.
+	Seed uint64
+	// Weight is the share of new flows, relative to FullWeight; never 0.
+	Weight uint32
+	// Index is the member's place in View.Members.
+	Index int32
 }
 
 // New returns a view of members, which it sorts by ID and keeps.
@@ -109,16 +141,46 @@
 	return v
 }
 
-// Prepare sorts the members and computes their hash seeds. Call it once on a
-// view that was decoded rather than made by New.
+// Prepare sorts the members, computes their hash seeds and lists the targets of
+// placement. Call it once on a view that was decoded, and again after setting
+// Earlier.
 func (v *View) Prepare() {
 	slices.SortFunc(v.Members, func(a, b BackendServer) int { return cmp.Compare(a.ID, b.ID) })
 	v.seeds = make([]uint64, len(v.Members))
+	weights := make([]uint32, len(v.Members))
 	for i := range v.Members {
-		v.seeds[i] = xxhash.Sum64String(v.Members[i].ID)
+		v.seeds[i] = SeedOf(v.Members[i].ID)
+		weights[i] = v.Members[i].PlacementWeight()
+	}
+	v.targets = v.targetsOf(weights)
+	v.past = make([][]Target, len(v.Earlier))
+	for i := range v.Earlier {
+		v.past[i] = v.targetsOf(v.Earlier[i].Weights)
 	}
 }
 
+func (v *View) targetsOf(weights []uint32) []Target {
+	targets := make([]Target, 0, len(v.Members))
+	for i, w := range weights {
+		if w > 0 && i < len(v.seeds) {
+			targets = append(targets, Target{Seed: v.seeds[i], Weight: w, Index: int32(i)})
+		}
+	}
+	return targets
+}
+
+// Targets returns the members that take new flows. Treat it as read-only.
+func (v *View) Targets() []Target { return v.targets }
+
+// PastTargets returns the members that took new flows under Earlier[i].
+func (v *View) PastTargets(i int) []Target { return v.past[i] }
+
+// SeedOf returns the hash seed of the backend server with the given ID.
+func SeedOf(id string) uint64 { return xxhash.Sum64String(id) }
+
+// FindSeed returns the index of the member with the given hash seed, or -1.
+func (v *View) FindSeed(seed uint64) int { return slices.Index(v.seeds, seed) }
+
 // Seed returns the hash seed of member i. It depends on the ID alone, so a
 // restart does not move flows.
 func (v *View) Seed(i int) uint64 { return v.seeds[i] }
@@ -155,4 +217,8 @@
 	Load uint32 `cbor:"11,keyasint"`
 	// TTL is the lease asked for.
 	TTL time.Duration `cbor:"12,keyasint"`
+	// Holds is the newest view version the agent has adopted, zero if none.
+	Holds Version `cbor:"13,keyasint"`
+	// Flows is the number of flows the agent owns.
+	Flows uint32 `cbor:"14,keyasint"`
 }
