--- /dev/null
+++ b/daemon/internal/settings/settings.go
@@ -0,0 +1,130 @@
+// Package settings reads the settings of one process from its INI file.
+package settings
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Role is a part that a process plays in the fleet.
+type Role string
+
+// The roles of a process.
+const (
+	RoleBalancer Role = "balancer"
+	RoleAgent    Role = "agent"
+	RoleControl  Role = "control"
+)
+
+// Roles lists every role.
+func Roles() []Role { return []Role{RoleBalancer, RoleAgent, RoleControl} }
+
+// Process is the settings of one process.
+type Process struct {
+	// Name is the VM's name, as in its certificate.
+	Name string
+	// Zone is the availability zone.
+	Zone string
+	// DataDir is the folder for files that must survive. Only control needs it.
+	DataDir string
+	Roles   []Role
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// StopTimeout bounds a graceful stop.
+	StopTimeout time.Duration
+
+	TLS      TLS
+	Admin    Admin
+	Control  Control
+	Join     Join
+	Balancer Balancer
+	// Agents has one entry for each service that the VM's backend servers serve.
+	Agents []Agent
+}
+
+// Has reports whether the process holds role.
+func (p *Process) Has(role Role) bool { return slices.Contains(p.Roles, role) }
+
+// TLS names the files of the process's keys.
+type TLS struct {
+	CA         string
+	Cert       string
+	Key        string
+	PacketKeys string
+}
+
+// Enabled reports whether key files are set. A process without them makes keys
+// of its own, which is allowed only where it talks to no other process.
+func (t TLS) Enabled() bool { return t != TLS{} }
+
+// Admin is the operators' interface.
+type Admin struct {
+	// Socket is the path of the local unix socket.
+	Socket string
+	// Remote is the address for operators with a client certificate; the zero
+	// value stands for none.
+	Remote netip.AddrPort
+}
+
+// Control is the settings of the control role.
+type Control struct {
+	// Listen is the QUIC address for replicas and daemons.
+	Listen netip.AddrPort
+	// Cluster is the name of the replica group; replicas refuse others.
+	Cluster string
+	// Peers are the replicas of a new cluster, this one included.
+	Peers []Peer
+}
+
+// Peer is a control replica.
+type Peer struct {
+	Name string
+	Addr netip.AddrPort
+}
+
+// Join tells where control is.
+type Join struct {
+	// Control lists addresses of control processes.
+	Control []netip.AddrPort
+}
+
+// Bind is how a balancer takes the service addresses.
+type Bind string
+
+// The ways to take service addresses.
+const (
+	// BindAddresses opens one socket for each service address.
+	BindAddresses Bind = "addresses"
+	// BindWildcard opens one socket for each port and reads the destination
+	// address from packet info.
+	BindWildcard Bind = "wildcard"
+)
+
+// Balancer is the settings of the balancer role.
+type Balancer struct {
+	// Packets is the UDP address for envelopes from agents.
+	Packets netip.AddrPort
+	Bind    Bind
+	// MTU is the largest IP packet on the path to agents, in bytes.
+	MTU int
+	// ReceiveBuffer is the socket receive buffer, in bytes.
+	ReceiveBuffer int
+}
+
+// Agent is the settings of the agent role for one service.
+type Agent struct {
+	Service string
+	// ID names the backend server within the fleet.
+	ID string
+	// Backend is the address of the backend server.
+	Backend netip.AddrPort
+	// Packets is the UDP address for envelopes.
+	Packets netip.AddrPort
+	// Requests is the QUIC address for requests and streams.
+	Requests netip.AddrPort
+	// Slots is the number of requests the backend server runs at once.
+	Slots int
+	// IdleTimeout ends a flow without packets.
+	IdleTimeout time.Duration
+}
