A whole path: sprayed datagrams, HTTP/3 and TCP through real roles

Cause: the roles ran apart from each other. Ruled out: loss of the closed balancer's queue alone; quic-go recovers from it. A test sprays eight flows of 32 messages over two balancers and three backend servers. Conclusion: any live balancer can carry a reply, so the choice need not wait for control.

--- /dev/null
+++ b/core/flow/returnpath_test.go
@@ -0,0 +1,45 @@
+package flow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestRepliesLeaveABalancerThatMayBeDead(t *testing.T) {
+	first := netip.MustParseAddrPort("127.0.0.1:1")
+	second := netip.MustParseAddrPort("127.0.0.2:1")
+	start := time.Unix(100, 0)
+	cases := []struct {
+		name   string
+		quiet  time.Duration // since the caller's last packet
+		heard  []netip.AddrPort
+		listed []netip.AddrPort
+		want   []netip.AddrPort // that carry two replies in a row, in any order
+	}{
+		{"caller just heard", returnQuiet / 2, []netip.AddrPort{first, second}, nil, []netip.AddrPort{first, first}},
+		{"caller quiet", returnQuiet, []netip.AddrPort{first, second}, nil, []netip.AddrPort{first, second}},
+		{"other known from control alone", returnQuiet, []netip.AddrPort{first}, []netip.AddrPort{second}, []netip.AddrPort{first, second}},
+		{"long quiet, control names the live one", 2 * heardLimit, []netip.AddrPort{first}, []netip.AddrPort{second}, []netip.AddrPort{second, second}},
+		{"nothing else known", 2 * heardLimit, []netip.AddrPort{first}, nil, []netip.AddrPort{first, first}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := NewReturnPaths()
+			for _, b := range c.heard {
+				r.Heard(b, start)
+			}
+			r.List(c.listed)
+			now := start.Add(c.quiet)
+			r.Expire(now)
+			got := []netip.AddrPort{r.Choose(first, start, now), r.Choose(first, start, now)}
+			if got[0].Compare(got[1]) > 0 {
+				got[0], got[1] = got[1], got[0]
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
--- /dev/null
+++ b/daemon/internal/node/node.go
@@ -0,0 +1,97 @@
+// Package node assembles one process from its settings: the roles it holds,
+// their keys, logs and metrics, started and stopped by fx.
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+
+	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/settings"
+)
+
+// Options are what a process is made of besides its settings.
+type Options struct {
+	Settings *settings.Process
+	// Identity is the process's certificate and the authority it trusts.
+	Identity *keys.Identity
+	// Ring holds the packet keys.
+	Ring *keys.Ring
+	// Spray is the number of balancers on this host that share the service
+	// addresses packet by packet; 0 where the fabric does that.
+	Spray int
+	// Now is the clock.
+	Now func() time.Time
+	Log *zap.Logger
+}
+
+// Load reads the keys that the settings name, or makes keys for this process
+// alone where they name none.
+func Load(p *settings.Process, now func() time.Time, log *zap.Logger) (Options, error) {
+	o := Options{Settings: p, Now: now, Log: log}
+	if !p.TLS.Enabled() {
+		return ephemeral(o)
+	}
+	var err error
+	if o.Identity, err = keys.Load(p.TLS.CA, p.TLS.Cert, p.TLS.Key); err != nil {
+		return o, err
+	}
+	o.Ring, err = keys.LoadRing(p.TLS.PacketKeys)
+	return o, err
+}
+
+func ephemeral(o Options) (Options, error) {
+	set, err := keys.Ephemeral(o.Now())
+	if err != nil {
+		return o, err
+	}
+	o.Ring = set.Ring
+	o.Identity, err = set.Identity(o.Settings.Name, o.Now())
+	return o, err
+}
+
+// New returns the process, not yet started.
+func New(o Options) *fx.App {
+	return fx.New(
+		fx.WithLogger(func() fxevent.Logger {
+			return &fxevent.ZapLogger{Logger: o.Log.Named("fx").WithOptions(zap.IncreaseLevel(zap.WarnLevel))}
+		}),
+		fx.StopTimeout(o.Settings.StopTimeout),
+		fx.Supply(o),
+		fx.Invoke(registerRoles),
+	)
+}
+
+// registerRoles starts the roles in an order in which each finds what it
+// connects to, and stops them in the opposite one.
+func registerRoles(lc fx.Lifecycle, o Options) {
+	if o.Settings.Has(settings.RoleControl) {
+		register(lc, func() (closer, error) { return startControl(o) })
+	}
+	if o.Settings.Has(settings.RoleAgent) {
+		for _, a := range o.Settings.Agents {
+			register(lc, func() (closer, error) { return startAgent(o, a) })
+		}
+	}
+	if o.Settings.Has(settings.RoleBalancer) {
+		register(lc, func() (closer, error) { return startBalancer(o) })
+	}
+}
+
+// closer is a running role.
+type closer interface{ Close() error }
+
+func register(lc fx.Lifecycle, start func() (closer, error)) {
+	var running closer
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) (err error) {
+			running, err = start()
+			return err
+		},
+		OnStop: func(context.Context) error { return running.Close() },
+	})
+}
--- /dev/null
+++ b/daemon/internal/node/node_test.go
@@ -0,0 +1,221 @@
+package node
+
+import (
+	"context"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/daemon/internal/role/agent"
+	"fulmarmount.org/daemon/internal/role/balancer"
+	"fulmarmount.org/daemon/internal/role/control"
+	"fulmarmount.org/daemon/internal/settings"
+	"fulmarmount.org/daemon/internal/standin"
+)
+
+// patience bounds a wait for the fleet to settle; it decides nothing where the
+// fleet works.
+const patience = 30 * time.Second
+
+// fleet is a whole fleet within the test's process.
+type fleet struct {
+	t       *testing.T
+	set     *keys.Set
+	control *control.Control
+	agents  int
+}
+
+func newFleet(t *testing.T, services ...proto.Service) *fleet {
+	t.Helper()
+	set, err := keys.Ephemeral(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, set: set}
+	running, err := startControl(f.options("control", settings.Process{
+		Control: settings.Control{Listen: netip.MustParseAddrPort("127.0.0.1:0")},
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.control = running.(*control.Control)
+	t.Cleanup(func() { _ = f.control.Close() })
+	f.control.SetServices(services)
+	return f
+}
+
+func (f *fleet) options(name string, s settings.Process) Options {
+	identity, err := f.set.Identity(name, time.Now())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s.Name = name
+	if f.control != nil {
+		s.Join.Control = []netip.AddrPort{f.control.Addr()}
+	}
+	return Options{Settings: &s, Identity: identity, Ring: f.set.Ring, Spray: 2, Now: time.Now, Log: zap.NewNop()}
+}
+
+func (f *fleet) balancer(name string) *balancer.Balancer {
+	running, err := startBalancer(f.options(name, settings.Process{Balancer: settings.Balancer{
+		Packets: netip.MustParseAddrPort("127.0.0.1:0"),
+		MTU:     1500,
+	}}))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = running.Close() })
+	return running.(*balancer.Balancer)
+}
+
+func (f *fleet) agent(service string, backend netip.AddrPort) *agent.Agent {
+	f.agents++
+	name := fmt.Sprintf("%s-%d", service, f.agents)
+	running, err := startAgent(f.options(name, settings.Process{Zone: "zone-a"}), settings.Agent{
+		Service:     service,
+		ID:          name,
+		Backend:     backend,
+		Packets:     netip.MustParseAddrPort("127.0.0.1:0"),
+		Requests:    netip.MustParseAddrPort("127.0.0.1:0"),
+		Slots:       4,
+		IdleTimeout: time.Hour,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = running.Close() })
+	return running.(*agent.Agent)
+}
+
+// settle sends messages of a session until one is answered.
+func settle(t *testing.T, target netip.AddrPort) {
+	t.Helper()
+	probe, err := standin.StartSession(standin.SessionOptions{ID: 1, Targets: []netip.AddrPort{target}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer probe.Close()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		err := probe.Exchange(ctx)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	t.Fatalf("no message to %s was answered", target)
+}
+
+var (
+	floorAddr     = netip.MustParseAddrPort("127.0.40.1:4000")
+	deskAddr      = netip.MustParseAddrPort("127.0.40.2:4000")
+	catalogueAddr = netip.MustParseAddrPort("127.0.40.3:4000")
+)
+
+func TestDatagramsOfOneFlowSprayedOverTwoBalancersReachOneServer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, proto.Service{ID: 1, Name: "floor", Mode: proto.ModePacket, Addresses: []netip.AddrPort{floorAddr}})
+	var echoes []*standin.Echo
+	for i := range 3 {
+		echo, err := standin.StartEcho(standin.EchoOptions{Name: fmt.Sprintf("bench-%d", i)})
+		is.NoErr(err)
+		defer echo.Close()
+		echoes = append(echoes, echo)
+		f.agent("floor", echo.Addr())
+	}
+	first, second := f.balancer("balancer-1"), f.balancer("balancer-2")
+	settle(t, floorAddr)
+	waitForMembers(t, first, second, len(echoes))
+	for id := range uint64(8) {
+		session, err := standin.StartSession(standin.SessionOptions{ID: 100 + id, Targets: []netip.AddrPort{floorAddr}})
+		is.NoErr(err)
+		defer session.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		for range 32 {
+			is.NoErr(session.Exchange(ctx))
+		}
+		cancel()
+		is.True(session.Report().Whole())
+	}
+	is.True(first.Stats().Forwarded.Load() > 0)
+	is.True(second.Stats().Forwarded.Load() > 0)
+}
+
+func waitForMembers(t *testing.T, first, second *balancer.Balancer, want int) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if first.Members(1) == want && second.Members(1) == want {
+			return
+		}
+	}
+	t.Fatalf("balancers know %d and %d of %d members", first.Members(1), second.Members(1), want)
+}
+
+func TestCatalogueOverHTTP3SurvivesTheLossOfABalancer(t *testing.T) {
+	is := is.New(t)
+	catalogue, err := standin.StartCatalogue(standin.CatalogueOptions{Name: "sheets"})
+	is.NoErr(err)
+	defer catalogue.Close()
+	f := newFleet(t, proto.Service{ID: 1, Name: "catalogue", Mode: proto.ModePacket, Addresses: []netip.AddrPort{catalogueAddr}})
+	f.agent("catalogue", catalogue.Addr())
+	first, second := f.balancer("balancer-1"), f.balancer("balancer-2")
+	waitForMembers(t, first, second, 1)
+	sheet := download(t, catalogue.Trust(), func() { _ = first.Close() })
+	is.Equal(sheet.Bytes, int64(sheetSize))
+	is.True(first.Stats().Forwarded.Load() > 0)
+	is.True(second.Stats().Forwarded.Load() > 0)
+}
+
+// sheetSize is the length of a large catalogue sheet in bytes.
+const sheetSize = 64 << 20
+
+// download pulls one sheet and calls halfway once within it.
+func download(t *testing.T, trust *x509.CertPool, halfway func()) standin.Sheet {
+	t.Helper()
+	conn, err := standin.StartSpray(standin.SprayOptions{Targets: []netip.AddrPort{catalogueAddr}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := standin.NewDownloader(standin.DownloaderOptions{Conn: conn, Trust: trust})
+	defer d.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	defer cancel()
+	sheet, err := d.Download(ctx, sheetSize, func(n int64) {
+		if n > sheetSize/2 && halfway != nil {
+			halfway()
+			halfway = nil
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sheet
+}
+
+func TestRequestOverTCPReachesItsService(t *testing.T) {
+	is := is.New(t)
+	desk, err := standin.StartOrderDesk(standin.OrderDeskOptions{Name: "desk"})
+	is.NoErr(err)
+	defer desk.Close()
+	f := newFleet(t, proto.Service{ID: 1, Name: "desk", Mode: proto.ModeStream, Addresses: []netip.AddrPort{deskAddr}})
+	f.agent("desk", desk.Addr())
+	b := f.balancer("balancer-1")
+	waitForMembers(t, b, b, 1)
+	client := http.Client{Timeout: patience}
+	response, err := client.Get("http://" + deskAddr.String() + "/")
+	is.NoErr(err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.True(len(body) > 0)
+}
--- /dev/null
+++ b/daemon/internal/node/roles.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"crypto/tls"
+	"math/rand/v2"
+	"time"
+
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/daemon/internal/role/agent"
+	"fulmarmount.org/daemon/internal/role/balancer"
+	"fulmarmount.org/daemon/internal/role/control"
+	"fulmarmount.org/daemon/internal/settings"
+)
+
+// ring gives the packet codec the keys that are in use at the clock's time.
+type ring struct {
+	*keys.Ring
+	now func() time.Time
+}
+
+// Active implements packet.Keys. The wire carries the lowest byte of the key's
+// ID: a ring holds far fewer keys than that tells apart.
+func (r ring) Active() (id uint8, secret []byte) {
+	k, ok := r.Ring.Active(r.now())
+	if !ok {
+		return 0, nil
+	}
+	return uint8(k.ID), k.Secret[:]
+}
+
+// Secret implements packet.Keys.
+func (r ring) Secret(id uint8) ([]byte, bool) {
+	for _, k := range r.Keys() {
+		if uint8(k.ID) == id {
+			return k.Secret[:], true
+		}
+	}
+	return nil, false
+}
+
+// clientTLS returns the settings of connections to processes with one of roles.
+func (o Options) clientTLS(roles ...keys.Role) func() *tls.Config {
+	return func() *tls.Config { return o.Identity.ClientTLSFor("", roles, peer.Protocol) }
+}
+
+func startControl(o Options) (closer, error) {
+	return control.Start(control.Options{
+		Listen: o.Settings.Control.Listen,
+		TLS:    o.Identity.ServerTLSFor([]keys.Role{keys.Balancer, keys.Agent, keys.Control}, peer.Protocol),
+		Epoch:  uint64(o.Now().Unix()),
+		Now:    o.Now,
+		Log:    o.Log.Named("control"),
+	})
+}
+
+func startBalancer(o Options) (closer, error) {
+	s := o.Settings.Balancer
+	return balancer.Start(balancer.Options{
+		Name:       o.Settings.Name,
+		Control:    o.Settings.Join.Control,
+		Packets:    s.Packets,
+		Spray:      o.Spray,
+		MTU:        s.MTU,
+		ReadBuffer: s.ReceiveBuffer,
+		TLS:        o.clientTLS(keys.Control, keys.Agent),
+		Keys:       ring{Ring: o.Ring, now: o.Now},
+		Session:    rand.Uint64(),
+		Now:        o.Now,
+		Log:        o.Log.Named("balancer"),
+	})
+}
+
+// agentMTU is the largest IP packet in bytes that an agent reads from its
+// backend server.
+const agentMTU = 1500
+
+func startAgent(o Options, s settings.Agent) (closer, error) {
+	return agent.Start(agent.Options{
+		ID:          s.ID,
+		Service:     s.Service,
+		Zone:        o.Settings.Zone,
+		Incarnation: view.Incarnation(o.Now().UnixNano()),
+		Backend:     s.Backend,
+		Packets:     s.Packets,
+		Requests:    s.Requests,
+		Slots:       uint16(s.Slots),
+		IdleTimeout: s.IdleTimeout,
+		MTU:         agentMTU,
+		Control:     o.Settings.Join.Control,
+		ServerTLS:   o.Identity.ServerTLSFor([]keys.Role{keys.Balancer, keys.Agent}, peer.Protocol),
+		ClientTLS:   o.clientTLS(keys.Control, keys.Agent),
+		Keys:        ring{Ring: o.Ring, now: o.Now},
+		Session:     rand.Uint64(),
+		Now:         o.Now,
+		Log:         o.Log.Named("agent"),
+	})
+}
--- a/daemon/internal/peer/client.go
+++ b/daemon/internal/peer/client.go
@@ -13,7 +13,7 @@
 // that has gone silent is replaced by one from a new port before an error is
 // reported. It is safe for concurrent use.
 type Pool struct {
-	tls    *tls.Config
+	tls    func() *tls.Config
 	mu     sync.Mutex
 	conns  map[netip.AddrPort]*slot
 	closed bool
@@ -25,8 +25,9 @@
 	conn *quic.Conn
 }
 
-// NewPool returns a Pool that connects with the given TLS settings.
-func NewPool(config *tls.Config) *Pool {
+// NewPool returns a Pool. It asks for TLS settings at each connection, so that
+// renewed certificates come into use.
+func NewPool(config func() *tls.Config) *Pool {
 	return &Pool{tls: config, conns: make(map[netip.AddrPort]*slot)}
 }
 
@@ -70,7 +71,7 @@
 	if s.conn != nil && !fresh && s.conn.Context().Err() == nil {
 		return s.conn, true, nil
 	}
-	conn, err := quic.DialAddr(ctx, addr.String(), p.tls, transport())
+	conn, err := quic.DialAddr(ctx, addr.String(), p.tls(), transport())
 	if err != nil {
 		return nil, false, DialFailed.Wrap(err, "connect to %s", addr)
 	}
--- a/daemon/internal/peer/server.go
+++ b/daemon/internal/peer/server.go
@@ -4,27 +4,17 @@
 	"context"
 	"crypto/tls"
 	"net/netip"
-	"slices"
 	"sync"
 
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
-)
-
-// Identity is who a peer's certificate says it is.
-type Identity struct {
-	// Name is the VM's name.
-	Name string
-	// Roles are the roles the certificate allows.
-	Roles []string
-}
 
-// Has reports whether the certificate allows a role.
-func (i Identity) Has(role string) bool { return slices.Contains(i.Roles, role) }
+	"fulmarmount.org/daemon/internal/keys"
+)
 
 // Handler serves one stream and returns when it is done. The stream is closed
 // for writing afterwards.
-type Handler func(ctx context.Context, from Identity, s *Stream)
+type Handler func(ctx context.Context, from keys.Info, s *Stream)
 
 // ServerOptions configure a Server.
 type ServerOptions struct {
@@ -85,7 +75,12 @@
 func (s *Server) serve(ctx context.Context, conn *quic.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.CloseWithError(closedCode, "server stops") })
 	defer stop()
-	from := identity(conn.ConnectionState().TLS)
+	from, err := keys.Peer(conn.ConnectionState().TLS)
+	if err != nil {
+		s.options.Log.Warn("Refused a connection.", zap.Error(err))
+		_ = conn.CloseWithError(closedCode, "no certificate")
+		return
+	}
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
@@ -99,7 +94,7 @@
 	}
 }
 
-func (s *Server) handle(ctx context.Context, from Identity, stream *Stream) {
+func (s *Server) handle(ctx context.Context, from keys.Info, stream *Stream) {
 	var first opening
 	if err := stream.Recv(&first); err != nil {
 		stream.Abort()
@@ -116,12 +111,3 @@
 	handler(ctx, from, stream)
 	_ = stream.Close()
 }
-
-// identity reads name and roles from the peer's certificate.
-func identity(state tls.ConnectionState) Identity {
-	if len(state.PeerCertificates) == 0 {
-		return Identity{}
-	}
-	subject := state.PeerCertificates[0].Subject
-	return Identity{Name: subject.CommonName, Roles: subject.OrganizationalUnit}
-}
--- a/daemon/internal/peer/stream.go
+++ b/daemon/internal/peer/stream.go
@@ -26,6 +26,9 @@
 	BadMessage = Errors.NewType("bad_message")
 )
 
+// Protocol is the name that both ends agree on in the TLS handshake.
+const Protocol = "fulmarmount/1"
+
 // MaxMessage is the largest message in bytes.
 const MaxMessage = 4 << 20
 
--- a/daemon/internal/role/agent/agent.go
+++ b/daemon/internal/role/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/packet"
 	"fulmarmount.org/daemon/internal/peer"
@@ -46,9 +47,10 @@
 	ReadBuffer int
 	// Control are the addresses of control processes.
 	Control []netip.AddrPort
-	// ServerTLS and ClientTLS are both ends of peer connections.
+	// ServerTLS checks the certificates of balancers and agents.
 	ServerTLS *tls.Config
-	ClientTLS *tls.Config
+	// ClientTLS returns the settings of a connection to control.
+	ClientTLS func() *tls.Config
 	// Keys seal the envelopes.
 	Keys packet.Keys
 	// Session is a random number for this run's envelopes.
@@ -62,6 +64,7 @@
 type Agent struct {
 	options   Options
 	flows     flows
+	paths     *flow.ReturnPaths
 	stats     Stats
 	service   atomic.Uint32
 	sealer    *packet.Sealer
@@ -82,6 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		options:   o,
+		paths:     flow.NewReturnPaths(),
 		sealer:    packet.NewSealer(o.Keys, o.Session),
 		opener:    packet.NewOpener(o.Keys, o.Now),
 		envelopes: envelopes,
--- a/daemon/internal/role/agent/flows.go
+++ b/daemon/internal/role/agent/flows.go
@@ -26,8 +26,14 @@
 type ownedFlow struct {
 	tuple   flow.Tuple
 	conn    *net.UDPConn
-	replyTo atomic.Pointer[netip.AddrPort]
-	seen    atomic.Int64 // Unix time in nanoseconds
+	inbound atomic.Pointer[inbound]
+	seen    atomic.Int64 // Unix time in nanoseconds of the last packet either way
+}
+
+// inbound is what an agent knows of the caller's last packet.
+type inbound struct {
+	replyTo netip.AddrPort
+	at      time.Time
 }
 
 func (f *flows) init() {
@@ -52,12 +58,10 @@
 	return o, true, nil
 }
 
-// touch notes that the flow carried a packet, and through which balancer.
-func (o *ownedFlow) touch(now time.Time, replyTo netip.AddrPort) {
+// received notes a packet of the caller, and through which balancer it came.
+func (o *ownedFlow) received(now time.Time, replyTo netip.AddrPort) {
 	o.seen.Store(now.UnixNano())
-	if p := o.replyTo.Load(); p == nil || *p != replyTo {
-		o.replyTo.Store(&replyTo)
-	}
+	o.inbound.Store(&inbound{replyTo: replyTo, at: now})
 }
 
 // expire closes the flows that have been idle since before the limit.
--- a/daemon/internal/role/agent/packets.go
+++ b/daemon/internal/role/agent/packets.go
@@ -61,9 +61,12 @@
 		a.stats.Failed.Add(1)
 		return
 	}
-	o.touch(a.options.Now(), h.ReplyTo)
+	now := a.options.Now()
+	o.received(now, h.ReplyTo)
+	a.paths.Heard(h.ReplyTo, now)
 	if opened {
-		a.tasks.Go(func() { a.readBackend(o, h.Service) })
+		service := h.Service
+		a.tasks.Go(func() { a.readBackend(o, service) })
 	}
 	if _, err := o.conn.Write(payload); err != nil {
 		a.stats.Failed.Add(1)
@@ -97,10 +100,12 @@
 	}
 }
 
-// reply sends one datagram through the balancer that last carried the flow.
+// reply sends one datagram through a balancer.
 func (a *Agent) reply(o *ownedFlow, service view.ServiceID, payload, out []byte) {
-	replyTo := *o.replyTo.Load()
-	o.touch(a.options.Now(), replyTo)
+	now := a.options.Now()
+	o.seen.Store(now.UnixNano())
+	last := o.inbound.Load()
+	replyTo := a.paths.Choose(last.replyTo, last.at, now)
 	header := packet.Header{
 		Kind:        packet.Reply,
 		Service:     service,
@@ -130,7 +135,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			a.flows.expire(a.options.Now().Add(-a.options.IdleTimeout))
+			now := a.options.Now()
+			a.flows.expire(now.Add(-a.options.IdleTimeout))
+			a.paths.Expire(now)
 		}
 	}
 }
--- a/daemon/internal/role/agent/tunnel.go
+++ b/daemon/internal/role/agent/tunnel.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
 	"fulmarmount.org/daemon/internal/splice"
@@ -15,7 +16,7 @@
 const connectLimit = 2 * time.Second
 
 // tunnel carries one caller connection to the backend server.
-func (a *Agent) tunnel(ctx context.Context, _ peer.Identity, s *peer.Stream) {
+func (a *Agent) tunnel(ctx context.Context, _ keys.Info, s *peer.Stream) {
 	var open proto.TunnelOpen
 	if err := s.Recv(&open); err != nil {
 		s.Abort()
--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -35,8 +35,8 @@
 	MTU int
 	// ReadBuffer is the kernel's receive buffer of each socket in bytes.
 	ReadBuffer int
-	// TLS connects to control and agents.
-	TLS *tls.Config
+	// TLS returns the settings of a connection to control or an agent.
+	TLS func() *tls.Config
 	// Keys seal the envelopes.
 	Keys packet.Keys
 	// Session is a random number for this run's envelopes.
@@ -168,3 +168,9 @@
 	view    view.Version
 	member  *view.BackendServer
 }
+
+// Stats returns the packet counters.
+func (b *Balancer) Stats() *Stats { return &b.stats }
+
+// Members returns how many backend servers the view in force has.
+func (b *Balancer) Members(id view.ServiceID) int { return b.table.members(id) }
--- a/daemon/internal/role/balancer/streams.go
+++ b/daemon/internal/role/balancer/streams.go
@@ -12,6 +12,7 @@
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
 	"fulmarmount.org/daemon/internal/splice"
+	"fulmarmount.org/daemon/internal/udp"
 )
 
 // tunnelLimit bounds the opening of a tunnel to a backend server.
@@ -20,11 +21,15 @@
 // listenStream serves TCP connections on one service address. A connection
 // lives on this balancer: it ends with it.
 func (b *Balancer) listenStream(addr netip.AddrPort) (listener, error) {
-	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(addr))
+	config := &net.ListenConfig{}
+	if b.options.Spray > 0 {
+		config = udp.ReusePort()
+	}
+	l, err := config.Listen(context.Background(), "tcp4", addr.String())
 	if err != nil {
 		return nil, err
 	}
-	b.tasks.Go(func() { b.acceptStreams(l) })
+	b.tasks.Go(func() { b.acceptStreams(l.(*net.TCPListener)) })
 	return l, nil
 }
 
--- a/daemon/internal/role/balancer/table.go
+++ b/daemon/internal/role/balancer/table.go
@@ -57,3 +57,13 @@
 	}
 	return target{service: id, view: v.Version, member: &v.Members[i]}, true
 }
+
+// members returns the size of a service's view.
+func (t *table) members(id view.ServiceID) int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if v := t.views[id]; v != nil {
+		return len(v.Members)
+	}
+	return 0
+}
--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
 )
@@ -106,7 +107,7 @@
 }
 
 // announce serves one agent's announcements.
-func (c *Control) announce(_ context.Context, from peer.Identity, s *peer.Stream) {
+func (c *Control) announce(_ context.Context, from keys.Info, s *peer.Stream) {
 	for {
 		var a view.Announcement
 		if err := s.Recv(&a); err != nil {
@@ -119,8 +120,8 @@
 }
 
 // renew takes one announcement.
-func (c *Control) renew(from peer.Identity, a view.Announcement) proto.AnnounceReply {
-	if !from.Has("agent") {
+func (c *Control) renew(from keys.Info, a view.Announcement) proto.AnnounceReply {
+	if !from.Allows(keys.Agent) {
 		return proto.AnnounceReply{Reason: "the certificate does not allow the agent role"}
 	}
 	c.mu.Lock()
@@ -228,7 +229,7 @@
 }
 
 // subscribe sends the whole state after every change.
-func (c *Control) subscribe(ctx context.Context, _ peer.Identity, s *peer.Stream) {
+func (c *Control) subscribe(ctx context.Context, _ keys.Info, s *peer.Stream) {
 	var hello proto.Hello
 	if err := s.Recv(&hello); err != nil {
 		return
--- a/daemon/internal/udp/udp.go
+++ b/daemon/internal/udp/udp.go
@@ -45,9 +45,10 @@
 
 // Listen opens a socket.
 func Listen(o Options) (*Conn, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return control(raw, o)
-	}}
+	config := &net.ListenConfig{}
+	if o.ReusePort || o.Spray > 0 {
+		config = ReusePort()
+	}
 	pc, err := config.ListenPacket(context.Background(), "udp4", o.Addr.String())
 	if err != nil {
 		return nil, ListenFailed.Wrap(err, "bind %s", o.Addr)
@@ -101,16 +102,6 @@
 	return err
 }
 
-// control sets the options that must be set before the socket is bound.
-func control(raw syscall.RawConn, o Options) error {
-	if !o.ReusePort && o.Spray == 0 {
-		return nil
-	}
-	return withDescriptor(raw, func(fd int) error {
-		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
-	})
-}
-
 // prepare sets the options of a bound socket. The kernel gives a socket its
 // group when it is bound, so the spray program is attached only then.
 func prepare(conn *net.UDPConn, o Options) error {
