fulmard with an embedded default, state dump and graceful stop

Cause: the roles ran only inside a test. Change: fulmard reads its settings or runs all roles before two stand-in services; SIGUSR1 writes the state as JSON; a stopping agent leaves its service and finishes its work, a stopping balancer finishes its connections.

--- /dev/null
+++ b/daemon/internal/embedded/embedded.go
@@ -0,0 +1,121 @@
+// Package embedded is the default that a process runs without a settings file:
+// all roles in one process, before two stand-in services on loopback.
+package embedded
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/daemon/internal/settings"
+	"fulmarmount.org/daemon/internal/standin"
+)
+
+// The addresses of the embedded services.
+var (
+	deskAddr      = netip.MustParseAddrPort("127.0.0.1:8080")
+	catalogueAddr = netip.MustParseAddrPort("127.0.0.1:8443")
+	controlAddr   = netip.MustParseAddrPort("127.0.0.1:7600")
+	anyPort       = netip.MustParseAddrPort("127.0.0.1:0")
+)
+
+const (
+	deskService      = "order-desk"
+	catalogueService = "catalogue"
+	zone             = "zone-a"
+
+	deskServers = 2
+
+	mtu         = 1500 // bytes
+	slots       = 4
+	idleTimeout = time.Hour
+	stopTimeout = 5 * time.Second
+)
+
+// Services are the running stand-ins.
+type Services struct {
+	desks     []*standin.OrderDesk
+	catalogue *standin.Catalogue
+}
+
+// Start starts the stand-in backend servers.
+func Start() (*Services, error) {
+	s := &Services{}
+	for i := range deskServers {
+		desk, err := standin.StartOrderDesk(standin.OrderDeskOptions{Name: fmt.Sprintf("desk-%d", i+1)})
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.desks = append(s.desks, desk)
+	}
+	catalogue, err := standin.StartCatalogue(standin.CatalogueOptions{Name: "sheets-1"})
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.catalogue = catalogue
+	return s, nil
+}
+
+// Close stops the stand-ins.
+func (s *Services) Close() {
+	for _, d := range s.desks {
+		_ = d.Close()
+	}
+	if s.catalogue != nil {
+		_ = s.catalogue.Close()
+	}
+}
+
+// Settings returns the settings of a process that holds every role.
+func (s *Services) Settings() *settings.Process {
+	p := &settings.Process{
+		Name:        "embedded",
+		Zone:        zone,
+		Roles:       settings.Roles(),
+		LogLevel:    "warn",
+		StopTimeout: stopTimeout,
+		Control:     settings.Control{Listen: controlAddr},
+		Join:        settings.Join{Control: []netip.AddrPort{controlAddr}},
+		Balancer:    settings.Balancer{Packets: anyPort, MTU: mtu},
+	}
+	for _, d := range s.desks {
+		p.Agents = append(p.Agents, agent(deskService, d.Name(), d.Addr()))
+	}
+	p.Agents = append(p.Agents, agent(catalogueService, s.catalogue.Name(), s.catalogue.Addr()))
+	return p
+}
+
+func agent(service, id string, backend netip.AddrPort) settings.Agent {
+	return settings.Agent{
+		Service:     service,
+		ID:          id,
+		Backend:     backend,
+		Packets:     anyPort,
+		Requests:    anyPort,
+		Slots:       slots,
+		IdleTimeout: idleTimeout,
+	}
+}
+
+// Services returns what control is told.
+func (s *Services) Services() []proto.Service {
+	return []proto.Service{
+		{ID: 1, Name: deskService, Mode: proto.ModeStream, Addresses: []netip.AddrPort{deskAddr}},
+		{ID: 2, Name: catalogueService, Mode: proto.ModePacket, Addresses: []netip.AddrPort{catalogueAddr}},
+	}
+}
+
+// Guide tells a person what to try.
+func (s *Services) Guide() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "fulmarmount serves two stand-in services. Try, in another terminal:\n\n")
+	fmt.Fprintf(&b, "  curl http://%s/\n", deskAddr)
+	fmt.Fprintf(&b, "  curl -H 'Idempotency-Key: a-1' -d 'blades: 40' http://%s/amendments\n", deskAddr)
+	fmt.Fprintf(&b, "  curl --http3-only -k https://%s/sheet?bytes=1000   (a curl with HTTP/3)\n\n", catalogueAddr)
+	fmt.Fprintf(&b, "SIGUSR1 prints the state of the process, Ctrl-C ends it.\n")
+	return b.String()
+}
--- a/daemon/internal/node/node.go
+++ b/daemon/internal/node/node.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/proto"
 	"fulmarmount.org/daemon/internal/settings"
 )
 
@@ -24,6 +25,10 @@
 	// Spray is the number of balancers on this host that share the service
 	// addresses packet by packet; 0 where the fabric does that.
 	Spray int
+	// Services are the services of a control role that starts without state.
+	Services []proto.Service
+	// Ready is called once every role has started; nil where nobody waits.
+	Ready func()
 	// Now is the clock.
 	Now func() time.Time
 	Log *zap.Logger
@@ -55,43 +60,50 @@
 }
 
 // New returns the process, not yet started.
-func New(o Options) *fx.App {
+func New(o Options, d *Dumper) *fx.App {
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger {
 			return &fxevent.ZapLogger{Logger: o.Log.Named("fx").WithOptions(zap.IncreaseLevel(zap.WarnLevel))}
 		}),
 		fx.StopTimeout(o.Settings.StopTimeout),
-		fx.Supply(o),
+		fx.Supply(o, d),
 		fx.Invoke(registerRoles),
 	)
 }
 
 // registerRoles starts the roles in an order in which each finds what it
 // connects to, and stops them in the opposite one.
-func registerRoles(lc fx.Lifecycle, o Options) {
+func registerRoles(lc fx.Lifecycle, o Options, d *Dumper) {
 	if o.Settings.Has(settings.RoleControl) {
-		register(lc, func() (closer, error) { return startControl(o) })
+		register(lc, d, settings.RoleControl, func() (role, error) { return startControl(o) })
 	}
 	if o.Settings.Has(settings.RoleAgent) {
 		for _, a := range o.Settings.Agents {
-			register(lc, func() (closer, error) { return startAgent(o, a) })
+			register(lc, d, settings.RoleAgent, func() (role, error) { return startAgent(o, a) })
 		}
 	}
 	if o.Settings.Has(settings.RoleBalancer) {
-		register(lc, func() (closer, error) { return startBalancer(o) })
+		register(lc, d, settings.RoleBalancer, func() (role, error) { return startBalancer(o) })
 	}
 }
 
-// closer is a running role.
-type closer interface{ Close() error }
+// role is a running role.
+type role interface {
+	dumpable
+	// Stop ends the role. Work in flight is finished first, until ctx ends.
+	Stop(ctx context.Context) error
+}
 
-func register(lc fx.Lifecycle, start func() (closer, error)) {
-	var running closer
+func register(lc fx.Lifecycle, d *Dumper, name settings.Role, start func() (role, error)) {
+	var running role
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) (err error) {
 			running, err = start()
+			if err == nil {
+				d.add(string(name), running)
+			}
 			return err
 		},
-		OnStop: func(context.Context) error { return running.Close() },
+		OnStop: func(ctx context.Context) error { return running.Stop(ctx) },
 	})
 }
--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.t.Cleanup(func() { _ = running.Close() })
+	f.t.Cleanup(func() { _ = running.Stop(expired()) })
 	return running.(*balancer.Balancer)
 }
 
@@ -92,7 +92,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.t.Cleanup(func() { _ = running.Close() })
+	f.t.Cleanup(func() { _ = running.Stop(expired()) })
 	return running.(*agent.Agent)
 }
 
@@ -219,3 +219,10 @@
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.True(len(body) > 0)
 }
+
+// expired returns a context that has ended, for stops that wait for nothing.
+func expired() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
--- a/daemon/internal/node/roles.go
+++ b/daemon/internal/node/roles.go
@@ -45,17 +45,22 @@
 	return func() *tls.Config { return o.Identity.ClientTLSFor("", roles, peer.Protocol) }
 }
 
-func startControl(o Options) (closer, error) {
-	return control.Start(control.Options{
+func startControl(o Options) (role, error) {
+	c, err := control.Start(control.Options{
 		Listen: o.Settings.Control.Listen,
 		TLS:    o.Identity.ServerTLSFor([]keys.Role{keys.Balancer, keys.Agent, keys.Control}, peer.Protocol),
 		Epoch:  uint64(o.Now().Unix()),
 		Now:    o.Now,
 		Log:    o.Log.Named("control"),
 	})
+	if err != nil {
+		return nil, err
+	}
+	c.SetServices(o.Services)
+	return c, nil
 }
 
-func startBalancer(o Options) (closer, error) {
+func startBalancer(o Options) (role, error) {
 	s := o.Settings.Balancer
 	return balancer.Start(balancer.Options{
 		Name:       o.Settings.Name,
@@ -76,7 +81,7 @@
 // backend server.
 const agentMTU = 1500
 
-func startAgent(o Options, s settings.Agent) (closer, error) {
+func startAgent(o Options, s settings.Agent) (role, error) {
 	return agent.Start(agent.Options{
 		ID:          s.ID,
 		Service:     s.Service,
--- a/daemon/internal/role/agent/agent.go
+++ b/daemon/internal/role/agent/agent.go
@@ -74,6 +74,11 @@
 	pool      *peer.Pool
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
+	tunnels   atomic.Int64
+	draining  atomic.Bool
+	// left is closed once control has taken an announcement of draining.
+	left     chan struct{}
+	leftOnce sync.Once
 }
 
 // Start opens the sockets, announces the backend server and serves until Close.
@@ -91,6 +96,7 @@
 		envelopes: envelopes,
 		pool:      peer.NewPool(o.ClientTLS),
 		cancel:    cancel,
+		left:      make(chan struct{}),
 	}
 	a.flows.init()
 	a.server, err = peer.Listen(peer.ServerOptions{
@@ -119,6 +125,31 @@
 	return a, nil
 }
 
+const (
+	// settleTime is how long views take to be in force once control has
+	// numbered them.
+	settleTime = time.Second
+	// idleCheck is how often a stopping agent looks whether its work is done.
+	idleCheck = 50 * time.Millisecond
+)
+
+// Stop leaves the service: it takes no new work, finishes what it has and
+// closes, at the latest when ctx ends.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.draining.Store(true)
+	select {
+	case <-ctx.Done():
+	case <-a.left:
+		subscribe.Sleep(ctx, settleTime)
+	}
+	for a.busy() && subscribe.Sleep(ctx, idleCheck) {
+	}
+	return a.Close()
+}
+
+// busy reports whether the agent holds flows or tunnels.
+func (a *Agent) busy() bool { return a.tunnels.Load() > 0 || a.flows.count() > 0 }
+
 // Close ends every flow and closes the sockets.
 func (a *Agent) Close() error {
 	a.cancel()
--- a/daemon/internal/role/agent/announce.go
+++ b/daemon/internal/role/agent/announce.go
@@ -43,7 +43,8 @@
 	defer stop()
 	for {
 		*sequence++
-		if err := s.Send(a.announcement(*sequence)); err != nil {
+		announcement := a.announcement(*sequence)
+		if err := s.Send(announcement); err != nil {
 			return err
 		}
 		if err := s.SetReadDeadline(time.Now().Add(answerLimit)); err != nil {
@@ -53,6 +54,9 @@
 		if err := s.Recv(&reply); err != nil {
 			return err
 		}
+		if announcement.Draining && reply.Accepted {
+			a.leftOnce.Do(func() { close(a.left) })
+		}
 		if !reply.Accepted {
 			a.options.Log.Warn("Control refused the announcement.", zap.String("reason", reply.Reason))
 		}
@@ -72,6 +76,7 @@
 		Requests:    a.server.Addr(),
 		Slots:       a.options.Slots,
 		Healthy:     true,
+		Draining:    a.draining.Load(),
 		Sequence:    sequence,
 	}
 }
--- /dev/null
+++ b/daemon/internal/role/agent/dump.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"net/netip"
+
+	"fulmarmount.org/core/view"
+)
+
+// Dump is the state of an agent.
+type Dump struct {
+	ID          string           `json:"id"`
+	Service     string           `json:"service"`
+	ServiceID   view.ServiceID   `json:"service_id"`
+	Incarnation view.Incarnation `json:"incarnation"`
+	Packets     netip.AddrPort   `json:"packets"`
+	Requests    netip.AddrPort   `json:"requests"`
+	Backend     netip.AddrPort   `json:"backend"`
+	Flows       int              `json:"flows"`
+	Counters    Counters         `json:"counters"`
+}
+
+// Counters are the values of Stats at one time.
+type Counters struct {
+	Delivered uint64 `json:"delivered"`
+	Replied   uint64 `json:"replied"`
+	Refused   uint64 `json:"refused"`
+	Failed    uint64 `json:"failed"`
+}
+
+// Dump returns the agent's state.
+func (a *Agent) Dump() any {
+	return Dump{
+		ID:          a.options.ID,
+		Service:     a.options.Service,
+		ServiceID:   view.ServiceID(a.service.Load()),
+		Incarnation: a.options.Incarnation,
+		Packets:     a.envelopes.Addr(),
+		Requests:    a.server.Addr(),
+		Backend:     a.options.Backend,
+		Flows:       a.flows.count(),
+		Counters:    a.stats.counters(),
+	}
+}
+
+func (s *Stats) counters() Counters {
+	return Counters{
+		Delivered: s.Delivered.Load(),
+		Replied:   s.Replied.Load(),
+		Refused:   s.Refused.Load(),
+		Failed:    s.Failed.Load(),
+	}
+}
--- a/daemon/internal/role/agent/flows.go
+++ b/daemon/internal/role/agent/flows.go
@@ -91,3 +91,15 @@
 		s.mu.Unlock()
 	}
 }
+
+// count returns the number of open flows.
+func (f *flows) count() int {
+	n := 0
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mu.Lock()
+		n += len(s.flows)
+		s.mu.Unlock()
+	}
+	return n
+}
--- a/daemon/internal/role/agent/tunnel.go
+++ b/daemon/internal/role/agent/tunnel.go
@@ -17,6 +17,8 @@
 
 // tunnel carries one caller connection to the backend server.
 func (a *Agent) tunnel(ctx context.Context, _ keys.Info, s *peer.Stream) {
+	a.tunnels.Add(1)
+	defer a.tunnels.Add(-1)
 	var open proto.TunnelOpen
 	if err := s.Recv(&open); err != nil {
 		s.Abort()
--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -61,8 +61,12 @@
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 
+	// streams counts the connections that are open.
+	streams sync.WaitGroup
+
 	mu        sync.Mutex
 	listeners map[listenKey]listener
+	stopping  bool
 }
 
 // listenKey names a listener of a service address.
@@ -103,15 +107,45 @@
 	return b, nil
 }
 
-// Close closes every socket. Flows go on through other balancers.
-func (b *Balancer) Close() error {
-	b.cancel()
+// Stop takes no new connections, waits until those that are open have ended or
+// ctx ends, and closes every socket.
+func (b *Balancer) Stop(ctx context.Context) error {
+	b.closeListeners(proto.ModeStream)
+	wait(ctx, &b.streams)
+	return b.Close()
+}
+
+// wait waits for a group until ctx ends.
+func wait(ctx context.Context, group *sync.WaitGroup) {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-ctx.Done():
+	case <-done:
+	}
+}
+
+// closeListeners closes the listeners of one mode.
+func (b *Balancer) closeListeners(mode proto.Mode) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stopping = true
 	for key, l := range b.listeners {
-		_ = l.Close()
-		delete(b.listeners, key)
+		if key.mode == mode {
+			_ = l.Close()
+			delete(b.listeners, key)
+		}
 	}
-	b.mu.Unlock()
+}
+
+// Close closes every socket. Flows go on through other balancers.
+func (b *Balancer) Close() error {
+	b.cancel()
+	b.closeListeners(proto.ModeStream)
+	b.closeListeners(proto.ModePacket)
 	err := b.envelopes.Close()
 	b.pool.Close()
 	b.tasks.Wait()
@@ -136,6 +170,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.stopping {
+		return
+	}
 	for key, l := range b.listeners {
 		if !want[key] {
 			_ = l.Close()
--- /dev/null
+++ b/daemon/internal/role/balancer/dump.go
@@ -0,0 +1,49 @@
+package balancer
+
+import (
+	"net/netip"
+
+	"fulmarmount.org/core/view"
+)
+
+// Dump is the state of a balancer.
+type Dump struct {
+	Envelopes netip.AddrPort   `json:"envelopes"`
+	Listeners []netip.AddrPort `json:"listeners"`
+	Version   view.Version     `json:"version"`
+	Views     []*view.View     `json:"views"`
+	Counters  Counters         `json:"counters"`
+}
+
+// Counters are the values of Stats at one time.
+type Counters struct {
+	Forwarded uint64 `json:"forwarded"`
+	Replied   uint64 `json:"replied"`
+	Unplaced  uint64 `json:"unplaced"`
+	Oversize  uint64 `json:"oversize"`
+	Refused   uint64 `json:"refused"`
+	Failed    uint64 `json:"failed"`
+}
+
+// Dump returns the balancer's state.
+func (b *Balancer) Dump() any {
+	d := Dump{Envelopes: b.envelopes.Addr(), Counters: b.stats.counters()}
+	b.mu.Lock()
+	for key := range b.listeners {
+		d.Listeners = append(d.Listeners, key.addr)
+	}
+	b.mu.Unlock()
+	d.Version, d.Views = b.table.snapshot()
+	return d
+}
+
+func (s *Stats) counters() Counters {
+	return Counters{
+		Forwarded: s.Forwarded.Load(),
+		Replied:   s.Replied.Load(),
+		Unplaced:  s.Unplaced.Load(),
+		Oversize:  s.Oversize.Load(),
+		Refused:   s.Refused.Load(),
+		Failed:    s.Failed.Load(),
+	}
+}
--- a/daemon/internal/role/balancer/streams.go
+++ b/daemon/internal/role/balancer/streams.go
@@ -39,7 +39,7 @@
 		if err != nil {
 			return
 		}
-		go b.serveStream(conn)
+		b.streams.Go(func() { b.serveStream(conn) })
 	}
 }
 
--- a/daemon/internal/role/balancer/table.go
+++ b/daemon/internal/role/balancer/table.go
@@ -1,7 +1,9 @@
 package balancer
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 
 	"fulmarmount.org/core/flow"
@@ -67,3 +69,10 @@
 	}
 	return 0
 }
+
+// snapshot returns the version and the views in force.
+func (t *table) snapshot() (view.Version, []*view.View) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.version, slices.Collect(maps.Values(t.views))
+}
--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -95,6 +95,9 @@
 	return c.server.Close()
 }
 
+// Stop stops serving. Daemons go on with what they have.
+func (c *Control) Stop(context.Context) error { return c.Close() }
+
 // SetServices replaces the services.
 func (c *Control) SetServices(services []proto.Service) {
 	c.mu.Lock()
--- /dev/null
+++ b/daemon/internal/role/control/dump.go
@@ -0,0 +1,30 @@
+package control
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/proto"
+)
+
+// Dump is the state of a control process.
+type Dump struct {
+	Listen   netip.AddrPort  `json:"listen"`
+	Version  view.Version    `json:"version"`
+	Services []proto.Service `json:"services"`
+	Views    []*view.View    `json:"views"`
+}
+
+// Dump returns the state of the process.
+func (c *Control) Dump() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Dump{
+		Listen:   c.server.Addr(),
+		Version:  c.version,
+		Services: c.services,
+		Views:    slices.Collect(maps.Values(c.views)),
+	}
+}
--- /dev/null
+++ b/daemon/internal/run/run.go
@@ -0,0 +1,130 @@
+// Package run takes a process from its command line to its end.
+package run
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"fulmarmount.org/daemon/internal/embedded"
+	"fulmarmount.org/daemon/internal/node"
+	"fulmarmount.org/daemon/internal/settings"
+)
+
+// Options are the command line of a process.
+type Options struct {
+	// Config is the path of the settings file; none runs the embedded default.
+	Config string
+	// Spray is the number of balancers that share the service addresses.
+	Spray int
+	// Output receives what the operator is told.
+	Output io.Writer
+}
+
+// startLimit bounds the start of a process.
+const startLimit = 30 * time.Second
+
+// Process runs a process until ctx ends.
+func Process(ctx context.Context, o Options) error {
+	if o.Config == "" {
+		return runEmbedded(ctx, o)
+	}
+	s, err := settings.Load(o.Config)
+	if err != nil {
+		return err
+	}
+	n, err := load(s)
+	if err != nil {
+		return err
+	}
+	n.Spray = o.Spray
+	return serve(ctx, n)
+}
+
+// runEmbedded runs the embedded default beside its stand-in services.
+func runEmbedded(ctx context.Context, o Options) error {
+	services, err := embedded.Start()
+	if err != nil {
+		return err
+	}
+	defer services.Close()
+	n, err := load(services.Settings())
+	if err != nil {
+		return err
+	}
+	n.Services = services.Services()
+	n.Ready = func() { _, _ = fmt.Fprint(o.Output, services.Guide()) }
+	return serve(ctx, n)
+}
+
+// load makes the parts that every process has.
+func load(s *settings.Process) (node.Options, error) {
+	log, err := newLog(s.LogLevel)
+	if err != nil {
+		return node.Options{}, err
+	}
+	return node.Load(s, time.Now, log)
+}
+
+// serve starts the process, waits for ctx and stops it gracefully.
+func serve(ctx context.Context, o node.Options) error {
+	dumper := node.NewDumper(o)
+	app := node.New(o, dumper)
+	if err := startApp(app); err != nil {
+		return err
+	}
+	o.Log.Named("process").Info("Started.", zap.String("name", o.Settings.Name))
+	if o.Ready != nil {
+		o.Ready()
+	}
+	stop := dumpOnSignal(dumper, o.Log)
+	defer stop()
+	<-ctx.Done()
+	o.Log.Named("process").Info("Stopping.", zap.Duration("limit", o.Settings.StopTimeout))
+	stopCtx, cancel := context.WithTimeout(context.Background(), o.Settings.StopTimeout)
+	defer cancel()
+	return app.Stop(stopCtx)
+}
+
+func startApp(app *fx.App) error {
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	return app.Start(ctx)
+}
+
+// dumpOnSignal writes the state dump to standard error at each SIGUSR1.
+func dumpOnSignal(d *node.Dumper, log *zap.Logger) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	go func() {
+		for range signals {
+			if err := d.Write(os.Stderr); err != nil {
+				log.Named("process").Error("Cannot write the dump.", zap.Error(err))
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(signals)
+	}
+}
+
+func newLog(level string) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	parsed, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	config.Level = parsed
+	config.DisableStacktrace = true
+	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	return config.Build()
+}
