Add the replicated state of the fleet

Operators write a document of services, defaults and exceptions; fleet validates it, reporting every problem with its place, and Machine applies commands to it deterministically. A version is compared and set: of two commands that expect one version exactly one is accepted, and the other gets the current version. Results are remembered by request ID, bounded by count and by log index, and an ID that an unlike command used is refused. A rollback is a new version. Service IDs are never reused.

The history keeps undo patches rather than documents.

--- /dev/null
+++ b/core/fleet/command.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+)
+
+// Kind is what a command does.
+type Kind uint8
+
+// The kinds of commands.
+const (
+	// KindApply replaces the whole document.
+	KindApply Kind = iota + 1
+	// KindPatch changes single items.
+	KindPatch
+	// KindRollback makes a new version that equals an earlier one.
+	KindRollback
+	// KindDrain drains a backend server.
+	KindDrain
+	// KindCancelDrain ends a drain.
+	KindCancelDrain
+)
+
+var kindNames = map[Kind]string{
+	KindApply: "apply", KindPatch: "patch", KindRollback: "rollback", KindDrain: "drain", KindCancelDrain: "cancel drain",
+}
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	if name, ok := kindNames[k]; ok {
+		return name
+	}
+	return fmt.Sprintf("kind(%d)", uint8(k))
+}
+
+// Command is one entry of the replicated log.
+type Command struct {
+	Kind Kind `cbor:"1,keyasint" json:"kind"`
+	// RequestID is unique to what the operator asked for. A resend with the
+	// same ID gets the first result. Without one nothing is remembered.
+	RequestID string `cbor:"2,keyasint,omitempty" json:"request_id,omitempty"`
+	// Author and At are who asked and when, by the proposer's clock. They
+	// are shown in the history and decide nothing.
+	Author  string    `cbor:"3,keyasint,omitempty" json:"author,omitempty"`
+	At      time.Time `cbor:"4,keyasint" json:"at"`
+	Comment string    `cbor:"5,keyasint,omitempty" json:"comment,omitempty"`
+	// Expected is the version that the operator saw. Apply and Rollback need
+	// it to be the current one. Patch needs the items that it touches to be
+	// unchanged since.
+	Expected uint64 `cbor:"6,keyasint" json:"expected"`
+	// Document is set for KindApply. The machine keeps it.
+	Document *Document `cbor:"7,keyasint,omitempty" json:"document,omitempty"`
+	// Patch is set for KindPatch. The machine keeps it.
+	Patch *Patch `cbor:"8,keyasint,omitempty" json:"patch,omitempty"`
+	// Version is set for KindRollback: the version to return to.
+	Version uint64 `cbor:"9,keyasint,omitempty" json:"version,omitempty"`
+	// BackendServer is set for KindDrain and KindCancelDrain.
+	BackendServer string `cbor:"10,keyasint,omitempty" json:"backend_server,omitempty"`
+}
+
+// Outcome is how a command ended.
+type Outcome uint8
+
+// The outcomes of commands.
+const (
+	// Accepted commands are in force from Result.Version and Result.Revision.
+	Accepted Outcome = iota + 1
+	// Conflict is for commands that expected another version.
+	Conflict
+	// Invalid is for commands with problems.
+	Invalid
+	// NotFound is for a version or a drain that does not exist.
+	NotFound
+	// Reused is for a request ID that an unlike command used before.
+	Reused
+)
+
+var outcomeNames = map[Outcome]string{
+	Accepted: "accepted", Conflict: "conflict", Invalid: "invalid", NotFound: "not found", Reused: "request ID reused",
+}
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	if name, ok := outcomeNames[o]; ok {
+		return name
+	}
+	return fmt.Sprintf("outcome(%d)", uint8(o))
+}
+
+// Result is the answer to a command.
+type Result struct {
+	Outcome Outcome `cbor:"1,keyasint" json:"outcome"`
+	// Version numbers the document: the one made by an accepted command, else
+	// the current one. It grows with every accepted apply, patch and rollback.
+	Version uint64 `cbor:"2,keyasint" json:"version"`
+	// Revision numbers the state with its drains. It grows with every
+	// accepted change.
+	Revision uint64 `cbor:"3,keyasint" json:"revision"`
+	// Problems are what is wrong with an invalid command.
+	Problems []Problem `cbor:"4,keyasint,omitempty" json:"problems,omitempty"`
+}
+
+// Drain asks that a backend server takes no new work. It holds until it is
+// cancelled, also while the backend server is away.
+type Drain struct {
+	BackendServer string    `cbor:"1,keyasint" json:"backend_server"`
+	Author        string    `cbor:"2,keyasint" json:"author,omitempty"`
+	At            time.Time `cbor:"3,keyasint" json:"at"`
+	Comment       string    `cbor:"4,keyasint" json:"comment,omitempty"`
+}
+
+// Limits of a command.
+const (
+	maxTextLength = 1_000 // bytes, of request ID, author and comment each
+	maxDrains     = 20_000
+)
+
+// problems returns what is wrong with the command apart from its content.
+func (c *Command) problems() []Problem {
+	var found []Problem
+	add := func(key, format string, args ...any) {
+		found = append(found, Problem{Section: "command", Key: key, Message: fmt.Sprintf(format, args...)})
+	}
+	for _, text := range []struct{ key, value string }{
+		{"request_id", c.RequestID}, {"author", c.Author}, {"comment", c.Comment},
+	} {
+		if len(text.value) > maxTextLength {
+			add(text.key, "%d bytes are more than %d", len(text.value), maxTextLength)
+		}
+	}
+	switch c.Kind {
+	case KindApply:
+		if c.Document == nil {
+			add("document", "a document is required")
+		}
+	case KindPatch:
+		if c.Patch == nil {
+			add("patch", "a patch is required")
+		}
+	case KindRollback:
+	case KindDrain, KindCancelDrain:
+		if !ValidName(c.BackendServer) {
+			add("backend_server", "%q is not the name of a backend server", c.BackendServer)
+		}
+	default:
+		add("kind", "%s is unknown", c.Kind)
+	}
+	return found
+}
--- /dev/null
+++ b/core/fleet/digest.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// digest identifies what a command asks for, apart from who asked and when, so
+// that a resend is told from another command with its request ID.
+func (c *Command) digest() uint64 {
+	h := hasher{xxhash.New()}
+	h.number(uint64(c.Kind))
+	h.number(c.Expected)
+	h.number(c.Version)
+	h.text(c.BackendServer)
+	h.text(c.Comment)
+	if c.Document != nil {
+		h.settings(&c.Document.Defaults)
+		h.services(c.Document.Services)
+		h.exceptions(c.Document.Exceptions)
+	}
+	if c.Patch != nil {
+		h.patch(c.Patch)
+	}
+	return h.Sum64()
+}
+
+// hasher writes values with their lengths, so that no two sequences of values
+// give the same bytes.
+type hasher struct{ *xxhash.Digest }
+
+func (h hasher) number(n uint64) {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], n)
+	_, _ = h.Write(b[:])
+}
+
+func (h hasher) text(s string) {
+	h.number(uint64(len(s)))
+	_, _ = h.WriteString(s)
+}
+
+func (h hasher) texts(list []string) {
+	h.number(uint64(len(list)))
+	for _, s := range list {
+		h.text(s)
+	}
+}
+
+func (h hasher) patch(p *Patch) {
+	if p.Defaults != nil {
+		h.settings(p.Defaults)
+	}
+	h.services(p.PutServices)
+	h.exceptions(p.PutExceptions)
+	h.texts(p.DeleteServices)
+	h.texts(p.DeleteExceptions)
+}
+
+func (h hasher) settings(s *Settings) {
+	for i := range tunables {
+		h.number(uint64(tunables[i].load(s)))
+	}
+}
+
+func (h hasher) services(list []Service) {
+	h.number(uint64(len(list)))
+	for i := range list {
+		h.service(&list[i])
+	}
+}
+
+func (h hasher) service(s *Service) {
+	h.text(s.Name)
+	h.text(string(s.Mode))
+	h.number(uint64(s.Share))
+	h.number(uint64(len(s.Addresses)))
+	for _, addr := range s.Addresses {
+		h.text(addr.String())
+	}
+	h.number(uint64(len(s.Classes)))
+	for _, c := range s.Classes {
+		h.text(c.Name)
+		h.number(uint64(c.MostUrgent)<<8 | uint64(c.LeastUrgent))
+		h.number(uint64(c.Share))
+	}
+	h.number(uint64(len(s.Repeatable)))
+	for _, route := range s.Repeatable {
+		h.text(route.Method)
+		h.text(route.Prefix)
+	}
+}
+
+func (h hasher) exceptions(list []Exception) {
+	h.number(uint64(len(list)))
+	for i := range list {
+		e := &list[i]
+		h.texts([]string{e.Name, string(e.Scope), e.Target, string(e.Key), e.Value, e.Reason})
+		h.number(uint64(e.Expires.Unix()))
+	}
+}
--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,381 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
+
+func addrs(list ...string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, s := range list {
+		out = append(out, netip.MustParseAddrPort(s))
+	}
+	return out
+}
+
+func service(name string, port int) Service {
+	return Service{Name: name, Mode: ModePacket, Addresses: addrs(fmt.Sprintf("10.0.0.1:%d", port))}
+}
+
+func document(services ...Service) *Document {
+	return &Document{Defaults: DefaultSettings(), Services: services}
+}
+
+func sample() *Document {
+	desk := service("order-desk", 443)
+	desk.Mode, desk.Share = ModeRequest, 400_000
+	desk.Classes = []Class{{"amendment", 0, 1, 500_000}, {"rest", 2, 7, 200_000}}
+	desk.Repeatable = []Route{{"GET", "/"}, {"PUT", "/orders/"}}
+	d := document(service("catalogue", 444), desk)
+	d.Exceptions = []Exception{
+		{"a-zone", ScopeZone, "sejong-a", "weight", "40", "half its uplink is under repair", start.Add(time.Hour)},
+		{"b-desk", ScopeService, "order-desk", "weight", "80", "leaves room for the season's peak", time.Time{}},
+		{"c-host", ScopeBackendServer, "order-desk-3", "weight", "20", "old disk, replaced in May", time.Time{}},
+	}
+	return d
+}
+
+func TestValidateReportsEveryProblem(t *testing.T) {
+	tests := []struct {
+		name   string
+		mutate func(d *Document)
+		want   string
+	}{
+		{"none", func(*Document) {}, ""},
+		{"default out of range", func(d *Document) { d.Defaults.Lease = time.Hour }, "[defaults] lease: 1h0m0s is outside 1s to 5m0s"},
+		{"name", func(d *Document) { d.Services[0].Name = "Cat" }, `[service.Cat] "Cat" is not a name`},
+		{"mode", func(d *Document) { d.Services[0].Mode = "tcp" }, `[service.catalogue] mode: "tcp" is none of`},
+		{"no address", func(d *Document) { d.Services[0].Addresses = nil }, "[service.catalogue] addresses: 0 addresses"},
+		{"unspecified address", func(d *Document) { d.Services[0].Addresses = addrs("0.0.0.0:1") }, "that callers can reach"},
+		{
+			"duplicate address", func(d *Document) { d.Services[1].Addresses = d.Services[0].Addresses },
+			"[service.order-desk] addresses: duplicate address 10.0.0.1:444, also of [service.catalogue]",
+		},
+		{"duplicate service", func(d *Document) { d.Services[1].Name = "catalogue" }, "duplicate service"},
+		{"shares", func(d *Document) { d.Services[0].Share = 600_001 }, "[service.order-desk] share: shares of the services up to this one exceed 100%"},
+		{"class shares", func(d *Document) { d.Services[1].Classes[1].Share = 500_001 }, "shares of the classes exceed 100%"},
+		{"class overlap", func(d *Document) { d.Services[1].Classes[1].MostUrgent = 1 }, `classes "amendment" and "rest" overlap`},
+		{"class range", func(d *Document) { d.Services[1].Classes[1].LeastUrgent = 8 }, "not a range within 0 to 7"},
+		{"class name", func(d *Document) { d.Services[1].Classes[1].Name = "amendment" }, `duplicate class "amendment"`},
+		{"repeatable of packets", func(d *Document) { d.Services[1].Mode = ModePacket }, "only services of mode request"},
+		{"method", func(d *Document) { d.Services[1].Repeatable[0].Method = "get" }, `"get" is not an upper-case method`},
+		{"path", func(d *Document) { d.Services[1].Repeatable[0].Prefix = "orders" }, `"orders" is not a path`},
+		{"no reason", func(d *Document) { d.Exceptions[0].Reason = "  " }, "[exception.a-zone] reason: a written reason is required"},
+		{"short reason", func(d *Document) { d.Exceptions[0].Reason = "because" }, "say why"},
+		{"unknown scope", func(d *Document) { d.Exceptions[0].Scope = "rack" }, `"rack" is none of`},
+		{"unknown key", func(d *Document) { d.Exceptions[0].Key = "colour" }, `"colour" is none of`},
+		{"unknown service", func(d *Document) { d.Exceptions[1].Target = "gone" }, `service "gone" does not exist`},
+		{"value", func(d *Document) { d.Exceptions[0].Value = "99999999" }, "99999999 is outside 0 to 10000"},
+		{
+			"scope of key", func(d *Document) { d.Exceptions[2].Key, d.Exceptions[2].Value = "deadline", "1s" },
+			"[exception.c-host] scope: deadline cannot be set for one backend_server",
+		},
+		{
+			"same override", func(d *Document) { d.Exceptions[2].Scope, d.Exceptions[2].Target = ScopeZone, "sejong-a" },
+			`exception "a-zone" already sets weight of zone "sejong-a"`,
+		},
+	}
+	all := sample()
+	all.Services[0].Mode, all.Exceptions[0].Reason, all.Exceptions[1].Value = "", "", "x"
+	if got := len(all.Validate()); got != 3 {
+		t.Errorf("%d problems of 3", got)
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := sample()
+			tt.mutate(d)
+			var lines []string
+			for _, p := range d.Validate() {
+				lines = append(lines, p.String())
+			}
+			report := strings.Join(lines, "\n")
+			is.Equal(report == "", tt.want == "")
+			is.True(strings.Contains(report, tt.want)) // the problem is in the report
+		})
+	}
+}
+
+func TestEffectiveSettings(t *testing.T) {
+	d := sample()
+	tests := []struct {
+		target Target
+		at     time.Time
+		weight uint32
+	}{
+		{Target{"catalogue", "sejong-b", "catalogue-1"}, start, 100},
+		{Target{"catalogue", "sejong-a", "catalogue-2"}, start, 40},
+		{Target{"catalogue", "sejong-a", "catalogue-2"}, start.Add(time.Hour), 100}, // expired
+		{Target{"order-desk", "sejong-a", "order-desk-1"}, start, 80},
+		{Target{"order-desk", "sejong-a", "order-desk-3"}, start, 20},
+		{Target{}, start, 100},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		is.Equal(d.Effective(tt.target, tt.at).Weight, tt.weight)
+	}
+	is := is.New(t)
+	is.Equal(len(d.Expired(start)), 0)
+	is.Equal(d.Expired(start.Add(time.Hour))[0].Name, "a-zone")
+}
+
+func TestSettingsTextRoundTrip(t *testing.T) {
+	is := is.New(t)
+	var s Settings
+	for _, key := range Keys() {
+		defaults := DefaultSettings()
+		is.NoErr(s.Set(key, defaults.Get(key)))
+	}
+	is.Equal(s, DefaultSettings())
+	for _, bad := range []struct{ key, value string }{
+		{"weight", "1e3"}, {"weight", "-1"}, {"retry_budget", "10"}, {"retry_budget", "101%"}, {"lease", "5"}, {"x", "1"},
+	} {
+		is.True(s.Set(Key(bad.key), bad.value) != nil)
+	}
+	for text, want := range map[string]Share{"0%": 0, "100%": Whole, "0.0001%": 1, "12.5%": 125_000} {
+		got, err := ParseShare(text)
+		is.NoErr(err)
+		is.Equal(got, want)
+		is.Equal(got.String(), text)
+	}
+	for _, bad := range []string{"", "%", "1", "101%", "-1%", "1.00001%", "+5%", "1.-1%", "99999999999%"} {
+		_, err := ParseShare(bad)
+		is.True(err != nil)
+	}
+}
+
+func TestOperatorsRaceAndResend(t *testing.T) {
+	one, two := document(service("one", 1)), document(service("two", 2))
+	apply := func(id string, expected uint64, d *Document) Command {
+		return Command{Kind: KindApply, RequestID: id, Expected: expected, Document: d}
+	}
+	put := func(id string, expected uint64, s Service) Command {
+		return Command{Kind: KindPatch, RequestID: id, Expected: expected, Patch: &Patch{PutServices: []Service{s}}}
+	}
+	rollback := func(id string, expected, to uint64) Command {
+		return Command{Kind: KindRollback, RequestID: id, Expected: expected, Version: to}
+	}
+	drain := Command{Kind: KindDrain, BackendServer: "one-1"}
+	type step struct {
+		command Command
+		outcome Outcome
+		version uint64
+	}
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"equal versions", []step{{apply("a", 0, one), Accepted, 1}, {apply("b", 0, two), Conflict, 1}}},
+		{"equal versions, equal documents", []step{{apply("a", 0, one), Accepted, 1}, {apply("b", 0, one), Conflict, 1}}},
+		{"resend of the winner", []step{{apply("a", 0, one), Accepted, 1}, {apply("b", 1, two), Accepted, 2}, {apply("a", 0, one), Accepted, 1}}},
+		{"resend of the loser", []step{{apply("a", 0, one), Accepted, 1}, {apply("b", 0, two), Conflict, 1}, {apply("c", 1, two), Accepted, 2}, {apply("b", 0, two), Conflict, 1}}},
+		{"resend of an invalid one", []step{{apply("a", 0, document(service("X", 1))), Invalid, 0}, {apply("b", 0, one), Accepted, 1}, {apply("a", 0, document(service("X", 1))), Invalid, 0}}},
+		{"request ID of another document", []step{{apply("a", 0, one), Accepted, 1}, {apply("a", 0, two), Reused, 1}, {apply("a", 1, two), Reused, 1}}},
+		{"without request ID", []step{{apply("", 0, one), Accepted, 1}, {apply("", 0, one), Conflict, 1}}},
+		{"patches of two services", []step{{put("a", 0, service("one", 1)), Accepted, 1}, {put("b", 0, service("two", 2)), Accepted, 2}}},
+		{"patches of one service", []step{{put("a", 0, service("one", 1)), Accepted, 1}, {put("b", 0, service("one", 2)), Conflict, 1}, {put("c", 1, service("one", 2)), Accepted, 2}}},
+		{"patches that take one address", []step{{put("a", 0, service("one", 1)), Accepted, 1}, {put("b", 0, service("two", 1)), Invalid, 1}}},
+		{"patch from the future", []step{{put("a", 5, service("one", 1)), Conflict, 0}}},
+		{"rollback is a new version", []step{{apply("a", 0, one), Accepted, 1}, {apply("b", 1, two), Accepted, 2}, {rollback("c", 2, 1), Accepted, 3}, {rollback("d", 2, 1), Conflict, 3}, {rollback("e", 3, 9), NotFound, 3}}},
+		{"drain leaves the version", []step{{apply("a", 0, one), Accepted, 1}, {drain, Accepted, 1}, {drain, Accepted, 1}, {apply("b", 1, two), Accepted, 2}}},
+		{"cancel of no drain", []step{{Command{Kind: KindCancelDrain, BackendServer: "one-1"}, NotFound, 0}}},
+		{"malformed", []step{{Command{}, Invalid, 0}, {Command{Kind: KindApply}, Invalid, 0}, {Command{Kind: KindPatch}, Invalid, 0}, {Command{Kind: KindDrain}, Invalid, 0}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := New()
+			for i, s := range tt.steps {
+				var err error
+				got := m.Apply(uint64(i+1), s.command)
+				is.Equal(got.Outcome, s.outcome)
+				is.Equal(got.Version, s.version)
+				m, err = Restore(m.Snapshot()) // every step also outlives a snapshot
+				is.NoErr(err)
+			}
+		})
+	}
+}
+
+func TestServiceIDsAreNeverReused(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	documents := []*Document{document(service("a", 1)), document(service("b", 1)), document(service("a", 1), service("b", 2))}
+	for i, d := range documents {
+		is.Equal(m.Apply(uint64(i+1), Command{Kind: KindApply, Expected: uint64(i), Document: d}).Outcome, Accepted)
+	}
+	is.Equal(m.Document().Service("b").ID, documents[1].Service("b").ID) // kept while it lives
+	is.Equal(uint32(m.Document().Service("a").ID), uint32(3))            // deleted and made again
+	is.Equal(m.Apply(9, Command{Kind: KindRollback, Expected: 3, Version: 1}).Outcome, Accepted)
+	is.Equal(m.Document().Service("a").ID, documents[2].Service("a").ID) // kept through the rollback
+	is.Equal(m.Apply(10, Command{Kind: KindRollback, Expected: 4, Version: 2}).Outcome, Accepted)
+	is.Equal(uint32(m.Document().Service("b").ID), uint32(4))
+}
+
+func TestBoundedMemory(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	patch := func(i int) Command {
+		return Command{
+			Kind: KindPatch, RequestID: fmt.Sprint(i), Expected: uint64(i),
+			Patch: &Patch{PutServices: []Service{service("a", 1+i%60_000)}},
+		}
+	}
+	for i := range maxAnswers + 10 {
+		is.Equal(m.Apply(uint64(i+1), patch(i)).Outcome, Accepted)
+	}
+	is.Equal(len(m.answers.list), maxAnswers)
+	is.Equal(len(m.answers.byID), maxAnswers)
+	is.Equal(len(m.history.entries), maxHistory)
+	is.Equal(m.Apply(20_000, patch(10)).Version, uint64(11))         // the oldest that is remembered
+	is.Equal(m.Apply(20_001, patch(9)).Outcome, Conflict)            // forgotten, and still not run twice
+	is.Equal(m.Apply(20_000, patch(maxAnswers+10)).Outcome, Invalid) // an index twice
+	m.Apply(20_001+answersWindow, Command{Kind: KindDrain, BackendServer: "x"})
+	is.Equal(len(m.answers.list), 0)
+	_, ok := m.At(m.Version() - maxHistory - 1)
+	is.True(!ok)
+
+	big := newHistory(nil)
+	for i := range 3 {
+		big.add(Entry{Version: uint64(i), Undo: Patch{DeleteServices: make([]string, maxHistoryItems*2/3)}})
+	}
+	is.Equal(len(big.entries), 1)
+}
+
+// TestAgainstNaiveHistory runs random commands on a machine that keeps undo
+// patches, on a second one that is snapshot and restored at random points, and
+// on a naive one that keeps every document whole.
+func TestAgainstNaiveHistory(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		m, twin := New(), New()
+		naive := []*Document{document()}
+		first := map[string]Result{}
+		for index := uint64(1); index <= 120; index++ {
+			version := m.Version()
+			command := func() Command { return randomCommand(rand.New(rand.NewPCG(seed, index)), version) }
+			got, same := m.Apply(index, command()), twin.Apply(index, command())
+			if !reflect.DeepEqual(got, same) {
+				t.Fatalf("seed %d index %d: replicas answer %v and %v", seed, index, got, same)
+			}
+			c := command()
+			if earlier, ok := first[c.RequestID]; ok && got.Outcome != Reused && !reflect.DeepEqual(got, earlier) {
+				t.Fatalf("seed %d index %d: resend got %v, first %v", seed, index, got, earlier)
+			} else if !ok {
+				first[c.RequestID] = got
+			}
+			if got.Version == uint64(len(naive)) {
+				naive = append(naive, naiveApply(naive, c))
+			}
+			if rng.IntN(10) == 0 {
+				var err error
+				if twin, err = Restore(twin.Snapshot()); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		for version, want := range naive {
+			got, ok := m.At(uint64(version))
+			if diff := Diff(got, want); !ok || diff.Size() != 0 {
+				t.Fatalf("seed %d: version %d differs by %+v", seed, version, diff)
+			}
+		}
+		if !reflect.DeepEqual(m.Snapshot(), twin.Snapshot()) {
+			t.Fatalf("seed %d: replicas differ", seed)
+		}
+	}
+}
+
+func randomCommand(rng *rand.Rand, version uint64) Command {
+	c := Command{RequestID: fmt.Sprint(rng.IntN(90)), Expected: version - min(version, uint64(rng.IntN(6)/4)), At: start}
+	random := func() Service { return service(fmt.Sprintf("s%d", rng.IntN(8)), 1+rng.IntN(200)) }
+	switch rng.IntN(6) {
+	case 0:
+		c.Kind, c.Version = KindRollback, uint64(rng.IntN(int(version)+2))
+	case 1:
+		c.Kind, c.Document = KindApply, document()
+		for range rng.IntN(5) {
+			c.Document.Services = append(c.Document.Services, random())
+		}
+		c.Document.Defaults.Weight = uint32(rng.IntN(3)) * 100
+	case 2:
+		c.Kind, c.BackendServer = KindDrain+Kind(rng.IntN(2)), fmt.Sprintf("b%d", rng.IntN(3))
+	default:
+		c.Kind, c.Patch = KindPatch, &Patch{PutServices: []Service{random()}, DeleteServices: []string{random().Name}}
+	}
+	return c
+}
+
+func naiveApply(versions []*Document, c Command) *Document {
+	current := versions[len(versions)-1]
+	switch c.Kind {
+	case KindApply:
+		c.Document.Normalize()
+		return c.Document
+	case KindRollback:
+		return versions[c.Version]
+	}
+	next := &Document{Defaults: current.Defaults}
+	for _, s := range current.Services {
+		if s.Name != c.Patch.PutServices[0].Name && s.Name != c.Patch.DeleteServices[0] {
+			next.Services = append(next.Services, s)
+		}
+	}
+	next.Services = append(next.Services, c.Patch.PutServices...)
+	next.Normalize()
+	return next
+}
+
+func TestDamagedSnapshotsAreRefused(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	is.Equal(m.Apply(1, Command{Kind: KindApply, Document: sample()}).Outcome, Accepted)
+	for name, damage := range map[string]func(s *Snapshot){
+		"format":   func(s *Snapshot) { s.Format++ },
+		"document": func(s *Snapshot) { s.Document.Defaults.Lease = 0 },
+		"ID":       func(s *Snapshot) { s.NextID = 1 },
+		"history":  func(s *Snapshot) { s.Version++ },
+	} {
+		s := m.Snapshot()
+		damage(&s)
+		_, err := Restore(s)
+		if err == nil {
+			t.Errorf("%s: restored", name)
+		}
+	}
+}
+
+func wide(services int) *Document {
+	d := document()
+	for i := range services {
+		s := service(fmt.Sprintf("service-%05d", i), 443)
+		s.Addresses = []netip.AddrPort{netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 443)}
+		d.Services = append(d.Services, s)
+	}
+	return d
+}
+
+// BenchmarkPatch changes one service of the fleet of two years from now.
+func BenchmarkPatch(b *testing.B) {
+	m := New()
+	m.Apply(1, Command{Kind: KindApply, Document: wide(19_000)})
+	changed := slices.Clone(m.Document().Services[9_000:9_001])
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		changed[0].Share = Share(i % 100)
+		c := Command{Kind: KindPatch, Expected: m.Version(), Patch: &Patch{PutServices: slices.Clone(changed)}}
+		if m.Apply(uint64(i+2), c).Outcome != Accepted {
+			b.Fatal("not accepted")
+		}
+	}
+}
--- /dev/null
+++ b/core/fleet/snapshot.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"slices"
+
+	"github.com/joomcode/errorx"
+
+	"fulmarmount.org/core/view"
+)
+
+// ErrSnapshot is the type for snapshots that cannot be restored.
+var ErrSnapshot = namespace.NewType("snapshot").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// snapshotFormat is the version of Snapshot.
+const snapshotFormat = 1
+
+// Snapshot is the whole state, for an encoding of the embedder's choice.
+type Snapshot struct {
+	Format   uint32         `cbor:"1,keyasint"`
+	Index    uint64         `cbor:"2,keyasint"`
+	Version  uint64         `cbor:"3,keyasint"`
+	Revision uint64         `cbor:"4,keyasint"`
+	NextID   view.ServiceID `cbor:"5,keyasint"`
+	Document Document       `cbor:"6,keyasint"`
+	Drains   []Drain        `cbor:"7,keyasint"`
+	History  []Entry        `cbor:"8,keyasint"`
+	Answers  []Answer       `cbor:"9,keyasint"`
+}
+
+// Snapshot returns the state. Treat it as read-only.
+func (m *Machine) Snapshot() Snapshot {
+	return Snapshot{
+		Format:   snapshotFormat,
+		Index:    m.index,
+		Version:  m.version,
+		Revision: m.revision,
+		NextID:   m.nextID,
+		Document: *m.document,
+		Drains:   m.drains,
+		History:  m.History(),
+		Answers:  m.answers.snapshot(),
+	}
+}
+
+// Restore returns the machine that s was taken of.
+func Restore(s Snapshot) (*Machine, error) {
+	if s.Format != snapshotFormat {
+		return nil, ErrSnapshot.New("snapshot has format %d, not %d", s.Format, snapshotFormat)
+	}
+	s.Document.Normalize()
+	if problems := s.Document.Validate(); len(problems) > 0 {
+		return nil, ErrSnapshot.New("snapshot of version %d is invalid: %s", s.Version, problems[0])
+	}
+	if err := s.checkIDs(); err != nil {
+		return nil, err
+	}
+	if err := s.checkHistory(); err != nil {
+		return nil, err
+	}
+	m := &Machine{
+		document: &s.Document,
+		version:  s.Version,
+		revision: s.Revision,
+		nextID:   s.NextID,
+		drains:   slices.Clip(s.Drains),
+		history:  newHistory(s.History),
+		answers:  newAnswers(s.Answers),
+		index:    s.Index,
+	}
+	return m, nil
+}
+
+func (s *Snapshot) checkIDs() error {
+	seen := make(map[view.ServiceID]bool, len(s.Document.Services))
+	for i := range s.Document.Services {
+		service := &s.Document.Services[i]
+		if service.ID == 0 || service.ID >= s.NextID || seen[service.ID] {
+			return ErrSnapshot.New("service %q has ID %d, which is taken or at least the next ID %d",
+				service.Name, service.ID, s.NextID)
+		}
+		seen[service.ID] = true
+	}
+	return nil
+}
+
+func (s *Snapshot) checkHistory() error {
+	for i := range s.History {
+		want := s.Version - uint64(len(s.History)-1-i)
+		if s.History[i].Version != want {
+			return ErrSnapshot.New("history entry %d is of version %d, not %d", i, s.History[i].Version, want)
+		}
+		s.History[i].Undo.normalize()
+	}
+	return nil
+}
