--- a/core/fleet/validate.go
+++ b/core/fleet/validate.go
@@ -72,7 +72,7 @@
 	for i := range tunables {
 		t := &tunables[i]
 		if err := t.check(t.load(&v.document.Defaults)); err != nil {
-			v.add(string(t.key), "%s", message(err))
+			v.add(string(t.key), "%s", Message(err))
 		}
 	}
 }
@@ -233,7 +233,7 @@
 		v.add("scope", "%s cannot be set for one %s", e.Key, e.Scope)
 	}
 	if _, err := t.parse(e.Value); err != nil {
-		v.add("value", "%s", message(err))
+		v.add("value", "%s", Message(err))
 	}
 }
 
@@ -282,8 +282,8 @@
 	return strings.Join(names, ", ")
 }
 
-// message returns the text of an error without its type.
-func message(err error) string {
+// Message returns the text of an error of this package without its type.
+func Message(err error) string {
 	if typed := errorx.Cast(err); typed != nil {
 		return typed.Message()
 	}
--- a/daemon/internal/inifile/reader.go
+++ b/daemon/internal/inifile/reader.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/daemon/internal/finding"
 )
 
@@ -25,6 +26,9 @@
 	return &Reader{file: f.Name, section: s, found: found}
 }
 
+// Section returns the name of the section.
+func (r *Reader) Section() string { return r.section.Name }
+
 // Has reports whether the section holds key.
 func (r *Reader) Has(key string) bool { return r.find(key) != nil }
 
@@ -64,7 +68,7 @@
 // Name returns a required value that is a DNS-style label sequence.
 func (r *Reader) Name(key string) string {
 	value := r.Required(key)
-	if value != "" && !ValidName(value) {
+	if value != "" && !fleet.ValidName(value) {
 		r.Fail(key, "%q is not a name of lower-case letters, digits, '.' and '-'", value)
 	}
 	return value
@@ -208,24 +212,3 @@
 	}
 	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()), nil
 }
-
-// maxNameLength is the longest name, in bytes: the limit of a DNS label, so
-// that every name fits a certificate and a metric.
-const maxNameLength = 63
-
-// ValidName reports whether s is a name of lower-case letters, digits, '.'
-// and '-' that starts and ends with a letter or digit.
-func ValidName(s string) bool {
-	if s == "" || len(s) > maxNameLength {
-		return false
-	}
-	for i := range len(s) {
-		c := s[i]
-		alphanumeric := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
-		inner := i > 0 && i < len(s)-1
-		if !alphanumeric && (!inner || c != '.' && c != '-') {
-			return false
-		}
-	}
-	return true
-}
--- a/daemon/internal/settings/parse.go
+++ b/daemon/internal/settings/parse.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/daemon/internal/finding"
 	"fulmarmount.org/daemon/internal/inifile"
 )
@@ -169,7 +170,7 @@
 func (p *parser) peer(out *Process, r *inifile.Reader, item string) {
 	name, text, ok := strings.Cut(item, "=")
 	name, text = strings.TrimSpace(name), strings.TrimSpace(text)
-	if !ok || !inifile.ValidName(name) {
+	if !ok || !fleet.ValidName(name) {
 		r.Fail("peers", "%q is not of the form name=address:port", item)
 		return
 	}
@@ -211,7 +212,7 @@
 			continue
 		}
 		r := p.section(name)
-		if !inifile.ValidName(service) {
+		if !fleet.ValidName(service) {
 			r.Fail("", "%q is not the name of a service", service)
 		}
 		agent := Agent{
