Seal and open envelopes without allocations

Cause: the nonce escaped to the heap once per envelope. Change: the nonce is the part of the header that ends with the sequence number.

--- a/daemon/internal/packet/seal.go
+++ b/daemon/internal/packet/seal.go
@@ -53,6 +53,9 @@
 	return cipher.NewGCM(block)
 }
 
+// nonceSize is the length of a GCM nonce in bytes.
+const nonceSize = 12
+
 // Sealer makes envelopes of one sending process. It is safe for concurrent use.
 type Sealer struct {
 	keys     Keys
@@ -84,9 +87,16 @@
 	start := len(dst)
 	dst = h.append(dst, key.id, s.session, sequence)
 	dst = append(dst, payload...)
-	var nonce [12]byte
-	binary.BigEndian.PutUint64(nonce[4:], sequence)
-	return key.aead.Seal(dst, nonce[:], nil, dst[start:]), nil
+	envelope := dst[start:]
+	return key.aead.Seal(dst, nonce(envelope), nil, envelope), nil
+}
+
+// nonce returns the part of the header that the tag's nonce is: the sequence
+// number and the bytes of the session before it. It is unique under the key of
+// the session, and a part of the datagram needs no allocation.
+func nonce(envelope []byte) []byte {
+	const end = sequenceOffset + 8
+	return envelope[end-nonceSize : end]
 }
 
 func (s *Sealer) key() (*sealKey, error) {
@@ -161,10 +171,8 @@
 	if err != nil {
 		return nil, err
 	}
-	var nonce [12]byte
-	binary.BigEndian.PutUint64(nonce[4:], sequence)
 	end := len(b) - TagSize
-	if _, err := aead.Open(nil, nonce[:], b[end:], b[:end]); err != nil {
+	if _, err := aead.Open(nil, nonce(b), b[end:], b[:end]); err != nil {
 		return nil, ErrForged
 	}
 	if err := o.accept(shard, id, aead, known, sequence); err != nil {
