Wildcard sockets, path-sized buffers and lock-free return paths

Cause: each service address took two 64 KiB buffers, 2.4 GB at 19,000 addresses; and every packet at an agent passed one process-wide lock. Change: buffers have the path's MTU; bind = wildcard opens one socket per port; ReturnPaths keeps its state behind an atomic pointer. Measured: the sprayed-flows test passes in both binds with the race detector; two buffers per address are now 3.1 KB at an MTU of 1500 (arithmetic). Conclusion: wildcard is the bind for many addresses.

--- a/core/flow/returnpath.go
+++ b/core/flow/returnpath.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -22,28 +23,40 @@
 // would name a live one. It is safe for concurrent use.
 type ReturnPaths struct {
 	mu     sync.Mutex
-	heard  map[netip.AddrPort]time.Time
 	listed []netip.AddrPort
-	live   atomic.Pointer[[]netip.AddrPort]
+	paths  atomic.Pointer[paths]
 	turn   atomic.Uint64
 }
 
+// paths is one state of what is known. Only the times in heard change.
+type paths struct {
+	heard map[netip.AddrPort]*atomic.Int64 // Unix time in nanoseconds
+	live  []netip.AddrPort
+}
+
 // NewReturnPaths returns ReturnPaths that know no balancer.
 func NewReturnPaths() *ReturnPaths {
-	r := &ReturnPaths{heard: make(map[netip.AddrPort]time.Time)}
-	r.live.Store(&[]netip.AddrPort{})
+	r := &ReturnPaths{}
+	r.paths.Store(&paths{})
 	return r
 }
 
 // Heard notes that a balancer sent something.
 func (r *ReturnPaths) Heard(balancer netip.AddrPort, now time.Time) {
+	if at := r.paths.Load().heard[balancer]; at != nil {
+		at.Store(now.UnixNano())
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, known := r.heard[balancer]
-	r.heard[balancer] = now
-	if !known {
-		r.rebuild()
+	heard := maps.Clone(r.paths.Load().heard)
+	if heard == nil {
+		heard = make(map[netip.AddrPort]*atomic.Int64)
 	}
+	at := &atomic.Int64{}
+	at.Store(now.UnixNano())
+	heard[balancer] = at
+	r.publish(heard)
 }
 
 // List replaces the balancers that control reports as live.
@@ -51,7 +64,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listed = slices.Clone(balancers)
-	r.rebuild()
+	r.publish(r.paths.Load().heard)
 }
 
 // Expire forgets the balancers that were not heard for a while. Those that
@@ -59,17 +72,21 @@
 func (r *ReturnPaths) Expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := len(r.heard)
-	for balancer, at := range r.heard {
-		if now.Sub(at) > heardLimit {
-			delete(r.heard, balancer)
-		}
-	}
-	if len(r.heard) != before {
-		r.rebuild()
+	heard := maps.Clone(r.paths.Load().heard)
+	limit := now.Add(-heardLimit).UnixNano()
+	maps.DeleteFunc(heard, func(_ netip.AddrPort, at *atomic.Int64) bool { return at.Load() < limit })
+	if len(heard) != len(r.paths.Load().heard) {
+		r.publish(heard)
 	}
 }
 
+// publish puts a new state in force. The caller holds the lock.
+func (r *ReturnPaths) publish(heard map[netip.AddrPort]*atomic.Int64) {
+	live := slices.AppendSeq(slices.Clone(r.listed), maps.Keys(heard))
+	slices.SortFunc(live, netip.AddrPort.Compare)
+	r.paths.Store(&paths{heard: heard, live: slices.Compact(live)})
+}
+
 // Choose returns the balancer for one reply of a flow that balancer last
 // carried, at the time inbound. While the caller is heard, that is the
 // same balancer; afterwards replies take turns over all that may be live.
@@ -77,20 +94,9 @@
 	if now.Sub(inbound) < returnQuiet {
 		return balancer
 	}
-	live := *r.live.Load()
+	live := r.paths.Load().live
 	if len(live) == 0 {
 		return balancer
 	}
 	return live[r.turn.Add(1)%uint64(len(live))]
 }
-
-// rebuild makes the list of live balancers. The caller holds the lock.
-func (r *ReturnPaths) rebuild() {
-	live := slices.Clone(r.listed)
-	for balancer := range r.heard {
-		live = append(live, balancer)
-	}
-	slices.SortFunc(live, netip.AddrPort.Compare)
-	live = slices.Compact(live)
-	r.live.Store(&live)
-}
--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -30,6 +30,7 @@
 type fleet struct {
 	t       *testing.T
 	set     *keys.Set
+	bind    settings.Bind
 	control *control.Control
 	agents  int
 }
@@ -69,6 +70,7 @@
 	running, err := startBalancer(f.options(name, settings.Process{Balancer: settings.Balancer{
 		Packets: netip.MustParseAddrPort("127.0.0.1:0"),
 		MTU:     1500,
+		Bind:    f.bind,
 	}}))
 	if err != nil {
 		f.t.Fatal(err)
@@ -122,8 +124,15 @@
 )
 
 func TestDatagramsOfOneFlowSprayedOverTwoBalancersReachOneServer(t *testing.T) {
+	for _, bind := range []settings.Bind{settings.BindAddresses, settings.BindWildcard} {
+		t.Run(string(bind), func(t *testing.T) { testSprayedFlows(t, bind) })
+	}
+}
+
+func testSprayedFlows(t *testing.T, bind settings.Bind) {
 	is := is.New(t)
 	f := newFleet(t, proto.Service{ID: 1, Name: "floor", Mode: proto.ModePacket, Addresses: []netip.AddrPort{floorAddr}})
+	f.bind = bind
 	var echoes []*standin.Echo
 	for i := range 3 {
 		echo, err := standin.StartEcho(standin.EchoOptions{Name: fmt.Sprintf("bench-%d", i)})
--- a/daemon/internal/node/roles.go
+++ b/daemon/internal/node/roles.go
@@ -67,6 +67,7 @@
 		Control:    o.Settings.Join.Control,
 		Packets:    s.Packets,
 		Spray:      o.Spray,
+		Wildcard:   s.Bind == settings.BindWildcard,
 		MTU:        s.MTU,
 		ReadBuffer: s.ReceiveBuffer,
 		TLS:        o.clientTLS(keys.Control, keys.Agent),
--- a/daemon/internal/role/agent/flows.go
+++ b/daemon/internal/role/agent/flows.go
@@ -24,10 +24,12 @@
 
 // ownedFlow is one flow's connected socket to the backend server.
 type ownedFlow struct {
-	tuple   flow.Tuple
-	conn    *net.UDPConn
-	inbound atomic.Pointer[inbound]
-	seen    atomic.Int64 // Unix time in nanoseconds of the last packet either way
+	tuple flow.Tuple
+	conn  *net.UDPConn
+	seen  atomic.Int64 // Unix time in nanoseconds of the last packet either way
+
+	mu   sync.Mutex
+	last inbound
 }
 
 // inbound is what an agent knows of the caller's last packet.
@@ -61,7 +63,16 @@
 // received notes a packet of the caller, and through which balancer it came.
 func (o *ownedFlow) received(now time.Time, replyTo netip.AddrPort) {
 	o.seen.Store(now.UnixNano())
-	o.inbound.Store(&inbound{replyTo: replyTo, at: now})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.last = inbound{replyTo: replyTo, at: now}
+}
+
+// lastInbound returns what the caller's last packet told.
+func (o *ownedFlow) lastInbound() inbound {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.last
 }
 
 // expire closes the flows that have been idle since before the limit.
--- a/daemon/internal/role/agent/packets.go
+++ b/daemon/internal/role/agent/packets.go
@@ -104,7 +104,7 @@
 func (a *Agent) reply(o *ownedFlow, service view.ServiceID, payload, out []byte) {
 	now := a.options.Now()
 	o.seen.Store(now.UnixNano())
-	last := o.inbound.Load()
+	last := o.lastInbound()
 	replyTo := a.paths.Choose(last.replyTo, last.at, now)
 	header := packet.Header{
 		Kind:        packet.Reply,
--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -31,6 +31,9 @@
 	// Spray is the number of balancers on this host that share the service
 	// addresses packet by packet; 0 where the fabric does that.
 	Spray int
+	// Wildcard binds the unspecified address of each port in place of each
+	// service address of its own.
+	Wildcard bool
 	// MTU is the largest IP packet in bytes between balancers and agents.
 	MTU int
 	// ReadBuffer is the kernel's receive buffer of each socket in bytes.
@@ -165,7 +168,7 @@
 	want := make(map[listenKey]bool)
 	for _, s := range services {
 		for _, addr := range s.Addresses {
-			want[listenKey{mode: s.Mode, addr: addr}] = true
+			want[b.listenKey(s.Mode, addr)] = true
 		}
 	}
 	b.mu.Lock()
@@ -192,6 +195,14 @@
 	}
 }
 
+// listenKey names the listener that serves a service address.
+func (b *Balancer) listenKey(mode proto.Mode, addr netip.AddrPort) listenKey {
+	if b.options.Wildcard {
+		addr = netip.AddrPortFrom(netip.IPv4Unspecified(), addr.Port())
+	}
+	return listenKey{mode: mode, addr: addr}
+}
+
 func (b *Balancer) listen(key listenKey) (listener, error) {
 	if key.mode == proto.ModeStream {
 		return b.listenStream(key.addr)
--- a/daemon/internal/role/balancer/bench_test.go
+++ b/daemon/internal/role/balancer/bench_test.go
@@ -65,7 +65,7 @@
 	for _, size := range []int{64, 1250} {
 		b.Run(fmt.Sprintf("relay/%d", size), func(b *testing.B) {
 			in, sink, out := listenLoopback(b), listenLoopback(b), listenLoopback(b)
-			buf := make([]byte, readBuffer)
+			buf := make([]byte, 1500)
 			benchBursts(b, in, size, func() {
 				n, _, _, err := in.Read(buf)
 				if err != nil {
@@ -77,7 +77,7 @@
 		b.Run(fmt.Sprintf("balancer/%d", size), func(b *testing.B) {
 			in, sink := listenLoopback(b), listenLoopback(b)
 			lb := newBench(b, in, sink)
-			buf, out := make([]byte, readBuffer), make([]byte, 0, readBuffer)
+			buf, out := make([]byte, 1500), make([]byte, 0, 1500)
 			benchBursts(b, in, size, func() {
 				n, from, to, err := in.Read(buf)
 				if err != nil {
--- a/daemon/internal/role/balancer/packets.go
+++ b/daemon/internal/role/balancer/packets.go
@@ -20,9 +20,6 @@
 	Failed    atomic.Uint64 // the socket did not take the packet
 }
 
-// readBuffer is the length of a read buffer in bytes: the largest datagram.
-const readBuffer = 1 << 16
-
 // listenPacket serves datagrams on one service address.
 func (b *Balancer) listenPacket(addr netip.AddrPort) (listener, error) {
 	conn, err := udp.Listen(udp.Options{
@@ -40,8 +37,9 @@
 
 // readCallers forwards the datagrams of one service address.
 func (b *Balancer) readCallers(conn *udp.Conn) {
-	buf := make([]byte, readBuffer)
-	out := make([]byte, 0, readBuffer)
+	// A longer datagram is cut by the read and then found not to fit.
+	buf := make([]byte, b.options.MTU)
+	out := make([]byte, 0, b.options.MTU+packet.MaxOverhead)
 	for {
 		n, from, to, err := conn.Read(buf)
 		if err != nil {
@@ -85,7 +83,7 @@
 
 // readEnvelopes sends the replies of agents to their callers.
 func (b *Balancer) readEnvelopes() {
-	buf := make([]byte, readBuffer)
+	buf := make([]byte, b.options.MTU+packet.MaxOverhead)
 	var header packet.Header
 	for {
 		n, _, _, err := b.envelopes.Read(buf)
@@ -104,7 +102,7 @@
 // reply sends one datagram to its caller from the service address.
 func (b *Balancer) reply(h *packet.Header, payload []byte) {
 	b.mu.Lock()
-	l := b.listeners[listenKey{mode: proto.ModePacket, addr: h.Address}]
+	l := b.listeners[b.listenKey(proto.ModePacket, h.Address)]
 	b.mu.Unlock()
 	conn, ok := l.(*udp.Conn)
 	if !ok {
