Counters by expvar, key reload on SIGHUP

Cause: counters showed in the dump alone, and new keys needed a restart. Change: expvar publishes every role's counters; SIGHUP reads certificate and packet keys again and keeps the earlier ones where a file is damaged. Measured: the node tests pass. Conclusion: a key rotation needs no restart.

--- a/daemon/internal/node/dump.go
+++ b/daemon/internal/node/dump.go
@@ -39,8 +39,12 @@
 	Value json.RawMessage `json:"value"`
 }
 
-// dumpable is a role that can tell its state as a value for JSON.
-type dumpable interface{ Dump() any }
+// dumpable is a role that can tell its state and its counters as values for
+// JSON.
+type dumpable interface {
+	Dump() any
+	Counters() any
+}
 
 // Dumper collects the state of the process's running roles. It is safe for
 // concurrent use.
@@ -85,6 +89,15 @@
 	return out
 }
 
+// Counters returns the counters of every running role, for expvar.
+func (d *Dumper) Counters() any {
+	var out []RoleDump
+	for _, r := range d.running() {
+		out = append(out, RoleDump{Role: r.name, State: r.dump.Counters()})
+	}
+	return out
+}
+
 func (d *Dumper) running() []runningRole {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/daemon/internal/role/agent/dump.go
+++ b/daemon/internal/role/agent/dump.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// Counters returns the packet counters.
+func (a *Agent) Counters() any { return a.stats.counters() }
+
 func (s *Stats) counters() Counters {
 	return Counters{
 		Delivered: s.Delivered.Load(),
--- a/daemon/internal/role/balancer/dump.go
+++ b/daemon/internal/role/balancer/dump.go
@@ -37,6 +37,9 @@
 	return d
 }
 
+// Counters returns the packet counters.
+func (b *Balancer) Counters() any { return b.stats.counters() }
+
 func (s *Stats) counters() Counters {
 	return Counters{
 		Forwarded: s.Forwarded.Load(),
--- a/daemon/internal/role/control/dump.go
+++ b/daemon/internal/role/control/dump.go
@@ -28,3 +28,16 @@
 		Views:    slices.Collect(maps.Values(c.views)),
 	}
 }
+
+// Counters are the sizes of what a control process holds.
+type Counters struct {
+	Members int `json:"members"`
+	Views   int `json:"views"`
+}
+
+// Counters returns the sizes of what the process holds.
+func (c *Control) Counters() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Counters{Members: len(c.members), Views: len(c.views)}
+}
--- a/daemon/internal/run/run.go
+++ b/daemon/internal/run/run.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"os"
@@ -77,6 +79,7 @@
 // serve starts the process, waits for ctx and stops it gracefully.
 func serve(ctx context.Context, o node.Options) error {
 	dumper := node.NewDumper(o)
+	expvar.Publish("fulmarmount", expvar.Func(dumper.Counters))
 	app := node.New(o, dumper)
 	if err := startApp(app); err != nil {
 		return err
@@ -85,7 +88,7 @@
 	if o.Ready != nil {
 		o.Ready()
 	}
-	stop := dumpOnSignal(dumper, o.Log)
+	stop := handleSignals(dumper, o)
 	defer stop()
 	<-ctx.Done()
 	o.Log.Named("process").Info("Stopping.", zap.Duration("limit", o.Settings.StopTimeout))
@@ -100,14 +103,20 @@
 	return app.Start(ctx)
 }
 
-// dumpOnSignal writes the state dump to standard error at each SIGUSR1.
-func dumpOnSignal(d *node.Dumper, log *zap.Logger) (stop func()) {
+// handleSignals writes the state dump to standard error at each SIGUSR1 and
+// reads the keys again at each SIGHUP.
+func handleSignals(d *node.Dumper, o node.Options) (stop func()) {
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
+	log := o.Log.Named("process")
 	go func() {
-		for range signals {
+		for s := range signals {
+			if s == syscall.SIGHUP {
+				reloadKeys(o, log)
+				continue
+			}
 			if err := d.Write(os.Stderr); err != nil {
-				log.Named("process").Error("Cannot write the dump.", zap.Error(err))
+				log.Error("Cannot write the dump.", zap.Error(err))
 			}
 		}
 	}()
@@ -117,6 +126,19 @@
 	}
 }
 
+// reloadKeys reads certificate and packet keys from their files. Where a file
+// is damaged, the keys in use stay.
+func reloadKeys(o node.Options, log *zap.Logger) {
+	if !o.Settings.TLS.Enabled() {
+		return
+	}
+	if err := errors.Join(o.Identity.Reload(), o.Ring.Reload()); err != nil {
+		log.Error("Cannot reload the keys. The earlier ones stay in use.", zap.Error(err))
+		return
+	}
+	log.Info("Reloaded the keys.")
+}
+
 func newLog(level string) (*zap.Logger, error) {
 	config := zap.NewProductionConfig()
 	parsed, err := zap.ParseAtomicLevel(level)
