Prove that a graceful stop cuts off no request

Cause: the stop of agent and balancer was not shown under a request in flight. Change: a test stops agent, balancer and both while a backend server holds the answer to an amendment, and lets it go once the views show the agent draining.

--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/x509"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -229,6 +231,80 @@
 	is.True(len(body) > 0)
 }
 
+func TestGracefulStopCutsOffNoRequest(t *testing.T) {
+	for _, stopped := range []string{"agent", "balancer", "both"} {
+		t.Run(stopped, func(t *testing.T) {
+			is := is.New(t)
+			desk, err := standin.StartOrderDesk(standin.OrderDeskOptions{Name: "desk"})
+			is.NoErr(err)
+			defer desk.Close()
+			f := newFleet(t, proto.Service{ID: 1, Name: "desk", Mode: proto.ModeStream, Addresses: []netip.AddrPort{deskAddr}})
+			a, b := f.agent("desk", desk.Addr()), f.balancer("balancer-1")
+			waitForMembers(t, b, b, 1)
+			desk.SetMode(standin.ModeStallAfter)
+			answer := make(chan error, 1)
+			go func() { answer <- amend("http://" + deskAddr.String() + "/amendments") }()
+			for a.Counters().(agent.Counters).Tunnels == 0 {
+				time.Sleep(time.Millisecond)
+			}
+
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			done := make(chan error, 2)
+			running := 0
+			for name, r := range map[string]role{"agent": a, "balancer": b} {
+				if stopped == name || stopped == "both" {
+					running++
+					go func() { done <- r.Stop(ctx) }()
+				}
+			}
+			if stopped != "balancer" {
+				waitForMembersDraining(t, b)
+			}
+			desk.SetMode(standin.ModeServe)
+			is.NoErr(<-answer)
+			for range running {
+				is.NoErr(<-done)
+			}
+			is.NoErr(ctx.Err())
+		})
+	}
+}
+
+// amend lodges an amendment and fails unless the whole answer arrives.
+func amend(url string) error {
+	client := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader("blades: 40"))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Idempotency-Key", "a-1")
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	var answer standin.OrderAnswer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return err
+	}
+	if answer.Run != 1 {
+		return fmt.Errorf("amendment ran %d times", answer.Run)
+	}
+	return nil
+}
+
+// waitForMembersDraining waits until no member takes new work.
+func waitForMembersDraining(t *testing.T, b *balancer.Balancer) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if b.Available(1) == 0 {
+			return
+		}
+	}
+	t.Fatal("a stopping agent still takes new work")
+}
+
 // expired returns a context that has ended, for stops that wait for nothing.
 func expired() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/internal/role/agent/dump.go
+++ b/daemon/internal/role/agent/dump.go
@@ -19,12 +19,13 @@
 	Counters    Counters         `json:"counters"`
 }
 
-// Counters are the values of Stats at one time.
+// Counters are the values of Stats and the open tunnels at one time.
 type Counters struct {
 	Delivered uint64 `json:"delivered"`
 	Replied   uint64 `json:"replied"`
 	Refused   uint64 `json:"refused"`
 	Failed    uint64 `json:"failed"`
+	Tunnels   int64  `json:"tunnels"`
 }
 
 // Dump returns the agent's state.
@@ -38,18 +39,19 @@
 		Requests:    a.server.Addr(),
 		Backend:     a.options.Backend,
 		Flows:       a.flows.count(),
-		Counters:    a.stats.counters(),
+		Counters:    a.counters(),
 	}
 }
 
 // Counters returns the packet counters.
-func (a *Agent) Counters() any { return a.stats.counters() }
+func (a *Agent) Counters() any { return a.counters() }
 
-func (s *Stats) counters() Counters {
+func (a *Agent) counters() Counters {
 	return Counters{
-		Delivered: s.Delivered.Load(),
-		Replied:   s.Replied.Load(),
-		Refused:   s.Refused.Load(),
-		Failed:    s.Failed.Load(),
+		Delivered: a.stats.Delivered.Load(),
+		Replied:   a.stats.Replied.Load(),
+		Refused:   a.stats.Refused.Load(),
+		Failed:    a.stats.Failed.Load(),
+		Tunnels:   a.tunnels.Load(),
 	}
 }
--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -222,3 +222,6 @@
 
 // Members returns how many backend servers the view in force has.
 func (b *Balancer) Members(id view.ServiceID) int { return b.table.members(id) }
+
+// Available returns how many backend servers take new flows.
+func (b *Balancer) Available(id view.ServiceID) int { return b.table.available(id) }
--- a/daemon/internal/role/balancer/table.go
+++ b/daemon/internal/role/balancer/table.go
@@ -76,3 +76,18 @@
 	defer t.mu.RUnlock()
 	return t.version, slices.Collect(maps.Values(t.views))
 }
+
+// available returns how many members of a service's view take new flows.
+func (t *table) available(id view.ServiceID) int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	n := 0
+	if v := t.views[id]; v != nil {
+		for i := range v.Members {
+			if v.Members[i].TakesNew() {
+				n++
+			}
+		}
+	}
+	return n
+}
