--- /dev/null
+++ b/core/spread/reconnect.go
@@ -0,0 +1,62 @@
+package spread
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BackoffOptions configures a Backoff.
+type BackoffOptions struct {
+	// Spread is the range of the first delay. The longer it is, the slower a
+	// crowd of daemons comes back. Zero means 2 s.
+	Spread time.Duration
+	// Max bounds the range of later delays; zero means 1 minute.
+	Max time.Duration
+	// Rand draws the delays. It is required.
+	Rand *rand.Rand
+}
+
+// Backoff draws the delays between attempts to connect: uniform from zero to a
+// range that doubles with every failure ("full jitter").
+type Backoff struct {
+	opts     BackoffOptions
+	failures int
+}
+
+// maxDoublings bounds the growth of the range.
+const maxDoublings = 20
+
+// NewBackoff returns a Backoff without failures.
+func NewBackoff(opts BackoffOptions) *Backoff {
+	setDefault(&opts.Spread, 2*time.Second)
+	setDefault(&opts.Max, time.Minute)
+	return &Backoff{opts: opts}
+}
+
+// Next returns the delay before the next attempt, and at least floor.
+func (b *Backoff) Next(floor time.Duration) time.Duration {
+	limit := min(b.opts.Spread<<min(b.failures, maxDoublings), b.opts.Max)
+	b.failures++
+	return floor + time.Duration(b.opts.Rand.Int64N(int64(limit)+1))
+}
+
+// Succeeded makes the next delay short again.
+func (b *Backoff) Succeeded() { b.failures = 0 }
+
+// RelayOrder returns the order in which a daemon tries relays. It spreads
+// daemons evenly, and those of a lost relay over all others.
+func RelayOrder(daemon string, relays []string) []string {
+	own := xxhash.Sum64String(daemon)
+	order := slices.Clone(relays)
+	slices.SortFunc(order, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(mix(own, xxhash.Sum64String(b)), mix(own, xxhash.Sum64String(a))),
+			cmp.Compare(a, b),
+		)
+	})
+	return order
+}
