--- /dev/null
+++ b/core/spread/bench_test.go
@@ -0,0 +1,173 @@
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// Sizes of the benchmarks.
+const (
+	benchServices = 19000
+	benchBody     = 700 // bytes of a view of seven backend servers
+)
+
+func benchRoot(b *testing.B, services int) *Root {
+	b.Helper()
+	root, err := NewRoot(1, NewStore(StoreOptions{}), SourceOptions{Rand: rand.New(rand.NewPCG(1, 1))})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := range services {
+		publishBench(b, root, i)
+	}
+	return root
+}
+
+func publishBench(b *testing.B, root *Root, service int) {
+	b.Helper()
+	it := Item{Key: fmt.Sprint("view/", service), Version: root.Next(), Body: make([]byte, benchBody)}
+	if _, err := root.Publish(it); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// benchLink joins a root and a sink and counts the bytes of the batches.
+type benchLink struct {
+	root  *Root
+	sink  *Sink
+	bytes int
+}
+
+// up delivers messages to the root, and what follows from them, in order.
+func (l *benchLink) up(now time.Duration, out Output) {
+	for queue := out.Messages; len(queue) > 0; queue = queue[1:] {
+		queue = append(queue, l.take(now, l.root.Receive(now, 1, queue[0]))...)
+	}
+}
+
+func (l *benchLink) down(now time.Duration, all []Delivery) {
+	l.up(now, Output{Messages: l.take(now, all)})
+}
+
+func (l *benchLink) take(now time.Duration, all []Delivery) (answers []Up) {
+	for _, d := range all {
+		if d.Message.Batch != nil {
+			for _, c := range d.Message.Batch.Changes {
+				l.bytes += c.Item.size()
+			}
+		}
+		answers = append(answers, l.sink.Receive(now, d.Message).Messages...)
+	}
+	return answers
+}
+
+// BenchmarkChange compares one change that reaches one daemon as a delta with
+// the naive push of the whole state.
+func BenchmarkChange(b *testing.B) {
+	for _, services := range []int{20, 1900, benchServices} {
+		b.Run(fmt.Sprintf("delta/services=%d", services), func(b *testing.B) {
+			root := benchRoot(b, services)
+			l := &benchLink{root: root, sink: NewSink(0, NewStore(StoreOptions{}), SinkOptions{ID: "d"})}
+			l.up(0, l.sink.Connect(0, 1))
+			l.bytes = 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				publishBench(b, root, i%services)
+				l.down(0, root.Tick(0))
+			}
+			b.ReportMetric(float64(l.bytes)/float64(b.N), "B-sent/op")
+		})
+		b.Run(fmt.Sprintf("naive/services=%d", services), func(b *testing.B) {
+			root := benchRoot(b, services)
+			bytes := 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				publishBench(b, root, i%services)
+				state := map[string]Item{}
+				for _, it := range root.Store().Items() {
+					bytes += it.size()
+					state[it.Key] = it
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "B-sent/op")
+		})
+	}
+}
+
+// BenchmarkCatchUp measures a daemon that comes back after missed changes.
+func BenchmarkCatchUp(b *testing.B) {
+	for _, missed := range []int{500, benchServices} {
+		b.Run(fmt.Sprintf("missed=%d", missed), func(b *testing.B) {
+			root := benchRoot(b, benchServices)
+			l := &benchLink{root: root, sink: NewSink(0, NewStore(StoreOptions{}), SinkOptions{ID: "d"})}
+			l.up(0, l.sink.Connect(0, 1))
+			l.bytes = 0
+			session := uint64(1)
+			b.ResetTimer()
+			for range b.N {
+				b.StopTimer()
+				root.Disconnected(0, 1)
+				for i := range missed {
+					publishBench(b, root, i)
+				}
+				root.Tick(0)
+				session++
+				b.StartTimer()
+				l.up(0, l.sink.Connect(0, session))
+			}
+			b.ReportMetric(float64(l.bytes)/float64(b.N), "B-sent/op")
+		})
+	}
+}
+
+// BenchmarkFanOut measures one change at a relay with many subscribers.
+func BenchmarkFanOut(b *testing.B) {
+	for _, subscribers := range []int{10, 300} {
+		b.Run(fmt.Sprintf("subscribers=%d", subscribers), func(b *testing.B) {
+			root := benchRoot(b, benchServices)
+			for peer := range PeerID(subscribers) {
+				root.Receive(0, peer, Up{Session: 1, Subscribe: &Subscribe{
+					ID: fmt.Sprint(peer), Position: root.Store().Position(),
+				}})
+			}
+			root.Tick(0)
+			b.ResetTimer()
+			for i := range b.N {
+				publishBench(b, root, i%benchServices)
+				for _, d := range root.Tick(0) {
+					root.Receive(0, d.Peer, Up{Session: 1, Ack: &Ack{Received: d.Message.Batch.To}})
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*subscribers), "ns/subscriber")
+		})
+	}
+}
+
+// BenchmarkMemory reports the bytes held per service by a daemon that keeps no
+// bodies and by a relay.
+func BenchmarkMemory(b *testing.B) {
+	for _, drop := range []bool{true, false} {
+		b.Run(fmt.Sprintf("bodies=%t", !drop), func(b *testing.B) {
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				store := NewStore(StoreOptions{DropBodies: drop})
+				for i := range benchServices {
+					it := Item{Key: fmt.Sprint("view/", i), Version: Position{Epoch: 1, Number: uint64(i)}, Body: make([]byte, benchBody)}
+					store.put(Change{Number: uint64(i), Item: it})
+					store.adopted([]Item{it})
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/benchServices, "B/service")
+				runtime.KeepAlive(store)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/spread/example_test.go
@@ -0,0 +1,58 @@
+package spread_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"fulmarmount.org/core/spread"
+)
+
+// One root and one daemon, connected by plain calls. The caller supplies the
+// time; nothing runs on its own.
+func Example() {
+	now := time.Second
+	root, err := spread.NewRoot(1, spread.NewStore(spread.StoreOptions{}), spread.SourceOptions{
+		BatchWindow: 200 * time.Millisecond,
+		Rand:        rand.New(rand.NewPCG(1, 1)),
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	sink := spread.NewSink(now, spread.NewStore(spread.StoreOptions{}), spread.SinkOptions{ID: "balancer-1"})
+
+	const connection = spread.PeerID(1)
+	take := func(out spread.Output) []spread.Up {
+		for _, it := range out.Adopted {
+			fmt.Printf("%s %v %s\n", it.Key, it.Version, it.Body)
+		}
+		return out.Messages
+	}
+	pass := func(queue []spread.Up) {
+		for ; len(queue) > 0; queue = queue[1:] {
+			for _, d := range root.Receive(now, connection, queue[0]) {
+				queue = append(queue, take(sink.Receive(now, d.Message))...)
+			}
+		}
+	}
+
+	at, err := root.Publish(spread.Item{Key: "service/7", Version: root.Next(), Body: []byte("weight=100")})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	root.Confirm(now) // A quorum agreed that this root is the only one.
+	pass(take(sink.Connect(now, 1)))
+	for range 5 {
+		now += 250 * time.Millisecond
+		for _, d := range root.Tick(now) {
+			pass(take(sink.Receive(now, d.Message)))
+		}
+		pass(take(sink.Tick(now)))
+	}
+	fmt.Println("in force at", root.Progress(at).InForce, "of", root.Progress(at).Total)
+	// Output:
+	// service/7 1.1 weight=100
+	// in force at 1 of 1
+}
