--- /dev/null
+++ b/core/quorum/sim_test.go
@@ -0,0 +1,387 @@
+package quorum
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/joomcode/errorx"
+)
+
+// disk is a fake that loses what was not synced.
+type disk struct {
+	hard, synced HardState
+	snapshot     Snapshot
+	entries      []Entry
+}
+
+func (d *disk) save(rd Ready) {
+	if rd.Snapshot != nil {
+		d.snapshot, d.entries = *rd.Snapshot, nil
+	}
+	if len(rd.Entries) > 0 {
+		first := rd.Entries[0].Index
+		keep := slices.IndexFunc(d.entries, func(e Entry) bool { return e.Index >= first })
+		if keep < 0 {
+			keep = len(d.entries)
+		}
+		d.entries = append(slices.Clone(d.entries[:keep]), rd.Entries...)
+	}
+	if rd.HardState != nil {
+		d.hard = *rd.HardState
+	}
+	if rd.MustSync {
+		d.synced = d.hard
+	}
+}
+
+// read is a ReadIndex in progress.
+type read struct{ floor, index uint64 }
+
+// node is one replica with its fake disk and a state machine that keeps the
+// numbers of the applied entries.
+type node struct {
+	id      ReplicaID
+	disk    disk
+	r       *Replica
+	applied uint64
+	digest  uint64 // of every applied entry in order
+	speed   float64
+	clock   float64
+	started map[uint64]uint64 // proposal number -> floor
+	reads   map[uint64]read
+}
+
+type packet struct {
+	due int
+	m   Message
+}
+
+// sim drives replicas over a lossy network and checks the safety properties
+// (paper, figure 3) at every step.
+type sim struct {
+	rnd     *rand.Rand
+	now     int
+	nodes   []*node
+	network []packet
+	blocked map[[2]ReplicaID]bool
+	loss    float64
+	dup     float64
+	delay   int
+
+	number  uint64
+	leaders map[uint64]ReplicaID // by term
+	log     map[uint64]Entry     // every applied entry, by index
+	digests map[uint64]uint64
+	floor   uint64 // greatest index that a finished operation has seen
+	acked   map[uint64]uint64
+	lost    ReplicaID // identity whose disk is gone
+	errs    []string
+}
+
+const simCluster ClusterID = 7
+
+func newSim(seed uint64, replicas int) *sim {
+	s := &sim{
+		rnd: rand.New(rand.NewPCG(seed, 1)), blocked: map[[2]ReplicaID]bool{},
+		leaders: map[uint64]ReplicaID{}, log: map[uint64]Entry{}, digests: map[uint64]uint64{},
+		acked: map[uint64]uint64{},
+	}
+	var members []Member
+	for i := range replicas {
+		members = append(members, Member{ID: ReplicaID(i + 1)})
+	}
+	for _, m := range members {
+		n := &node{id: m.ID, speed: 1}
+		n.disk.hard, n.disk.snapshot = Bootstrap(simCluster, members...)
+		n.disk.synced = n.disk.hard
+		s.nodes = append(s.nodes, n)
+		s.start(n)
+	}
+	return s
+}
+
+func (s *sim) failf(format string, args ...any) {
+	s.errs = append(s.errs, fmt.Sprintf("step %d: ", s.now)+fmt.Sprintf(format, args...))
+}
+
+func (s *sim) start(n *node) {
+	r, err := New(Config{
+		ID: n.id, Rand: s.rnd, MaxInflight: 4, MaxAppendBytes: 200,
+		HardState: n.disk.hard, Snapshot: n.disk.snapshot, Entries: n.disk.entries,
+	})
+	if err != nil {
+		s.failf("replica %s: %v", n.id, err)
+		return
+	}
+	n.r = r
+	n.started, n.reads = map[uint64]uint64{}, map[uint64]read{}
+	s.restore(n, n.disk.snapshot)
+}
+
+func (s *sim) restore(n *node, snapshot Snapshot) {
+	n.applied = snapshot.Index
+	n.digest = 0
+	for _, b := range snapshot.Data {
+		n.digest = n.digest<<8 | uint64(b)
+	}
+}
+
+func (s *sim) crash(n *node) {
+	n.r = nil
+	n.disk.hard = n.disk.synced
+}
+
+// wipe replaces the node's disk, and so its identity, and starts it.
+func (s *sim) wipe(n *node) {
+	n.disk = disk{}
+	n.id = ReplicaID(s.rnd.Uint64() | 1<<40)
+	s.start(n)
+}
+
+// pump carries out what n's replica is ready to do; crashAt is the stage
+// before which it dies, or 0.
+func (s *sim) pump(n *node, crashAt int) {
+	for n.r != nil {
+		rd := n.r.Ready()
+		if rd.Empty() {
+			return
+		}
+		if rd.SoftState != nil && rd.SoftState.Role == Leader {
+			if old, ok := s.leaders[rd.SoftState.Term]; ok && old != n.id {
+				s.failf("term %d has leaders %s and %s", rd.SoftState.Term, old, n.id)
+			}
+			s.leaders[rd.SoftState.Term] = n.id
+		}
+		s.send(rd.EarlyMessages)
+		if crashAt == 1 {
+			s.crash(n)
+			return
+		}
+		n.disk.save(rd)
+		if rd.Snapshot != nil {
+			s.restore(n, *rd.Snapshot)
+		}
+		if crashAt == 2 {
+			s.crash(n)
+			return
+		}
+		s.send(rd.Messages)
+		for _, e := range rd.Committed {
+			s.apply(n, e)
+		}
+		n.r.Advance(rd)
+		s.finishReads(n, rd.ReadStates)
+	}
+}
+
+func (s *sim) apply(n *node, e Entry) {
+	if e.Index != n.applied+1 {
+		s.failf("replica %s applied %d after %d", n.id, e.Index, n.applied)
+	}
+	n.applied = e.Index
+	n.digest = n.digest*1099511628211 + e.Term*31 + e.Number + 1
+	if old, ok := s.log[e.Index]; ok && (old.Term != e.Term || old.Number != e.Number) {
+		s.failf("entry %d is %v on replica %s and was %v", e.Index, e, n.id, old)
+	}
+	if old, ok := s.digests[e.Index]; ok && old != n.digest {
+		s.failf("state after entry %d differs on replica %s", e.Index, n.id)
+	}
+	s.log[e.Index], s.digests[e.Index] = e, n.digest
+	if e.Kind == EntryChange && e.Change.Op == RemoveMember && e.Change.Member.ID == s.lost {
+		s.lost = 0
+	}
+	if floor, ok := n.started[e.Number]; ok && e.Origin == n.id {
+		delete(n.started, e.Number)
+		s.finish("command", floor, e.Index)
+		s.acked[e.Number] = e.Index
+	}
+}
+
+// finish checks that an operation saw whatever ended before it began: state
+// is a prefix of one log, so this is linearizability.
+func (s *sim) finish(what string, floor, index uint64) {
+	if index < floor {
+		s.failf("%s saw state %d and began after state %d was seen", what, index, floor)
+	}
+	s.floor = max(s.floor, index)
+}
+
+func (s *sim) finishReads(n *node, states []ReadState) {
+	for _, state := range states {
+		if rd, ok := n.reads[state.Context]; ok {
+			rd.index = state.Index
+			n.reads[state.Context] = rd
+		}
+	}
+	for context, rd := range n.reads {
+		if rd.index != 0 && n.applied >= rd.index {
+			delete(n.reads, context)
+			s.finish("read", rd.floor, n.applied)
+		}
+	}
+}
+
+func (s *sim) send(messages []Message) {
+	for _, m := range messages {
+		if s.blocked[[2]ReplicaID{m.From, m.To}] || s.rnd.Float64() < s.loss {
+			continue
+		}
+		s.network = append(s.network, packet{s.now + 1 + s.rnd.IntN(s.delay+1), m})
+		if s.rnd.Float64() < s.dup {
+			s.network = append(s.network, packet{s.now + 1 + s.rnd.IntN(4*s.delay+1), m})
+		}
+	}
+}
+
+// step lets one unit of time pass.
+func (s *sim) step() {
+	s.now++
+	var later, due []packet
+	for _, p := range s.network {
+		if p.due > s.now {
+			later = append(later, p)
+		} else {
+			due = append(due, p)
+		}
+	}
+	s.network = later
+	s.rnd.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, p := range due {
+		for _, n := range s.nodes {
+			if n.id == p.m.To && n.r != nil {
+				if err := n.r.Step(p.m); errorx.IsOfType(err, RolledBack) {
+					s.failf("%v", err)
+				}
+			}
+		}
+	}
+	for _, n := range s.nodes {
+		n.clock += n.speed
+		for ; n.clock >= 1; n.clock-- {
+			if n.r != nil {
+				n.r.Tick()
+			}
+		}
+		s.pump(n, 0)
+	}
+}
+
+func (s *sim) run(steps int) {
+	for range steps {
+		s.step()
+	}
+}
+
+func (s *sim) propose(n *node) uint64 {
+	s.number++
+	n.started[s.number] = s.floor
+	if err := n.r.Propose(s.number, []byte("x")); err != nil {
+		delete(n.started, s.number)
+	}
+	return s.number
+}
+
+func (s *sim) read(n *node) {
+	s.number++
+	if n.r.ReadIndex(s.number) == nil {
+		n.reads[s.number] = read{floor: s.floor}
+	}
+}
+
+func (s *sim) compact(n *node) {
+	state := make([]byte, 8)
+	for i := range state {
+		state[i] = byte(n.digest >> (56 - 8*i))
+	}
+	snapshot, err := n.r.Snapshot(n.applied, state)
+	if err != nil {
+		s.failf("%v", err)
+		return
+	}
+	n.disk.snapshot = snapshot
+	first := n.r.Compact(snapshot, 3)
+	n.disk.entries = slices.DeleteFunc(slices.Clone(n.disk.entries), func(e Entry) bool { return e.Index < first })
+}
+
+// leader returns the running leader of the greatest term.
+func (s *sim) leader() *node {
+	var best *node
+	for _, n := range s.nodes {
+		if n.r != nil && n.r.role == Leader && (best == nil || n.r.term > best.r.term) {
+			best = n
+		}
+	}
+	return best
+}
+
+// repair is the operators' procedure after a lost disk, one step at a time:
+// add the new identity, promote it, remove the old one.
+func (s *sim) repair() {
+	n := s.leader()
+	if n == nil || s.lost == 0 {
+		return
+	}
+	members := n.r.Status().Membership
+	for _, other := range s.nodes {
+		member, ok := members.Find(other.id)
+		if !ok {
+			_ = n.r.ProposeChange(0, ConfChange{Op: AddLearner, Member: Member{ID: other.id}})
+			return
+		}
+		if member.Learner {
+			_ = n.r.ProposeChange(0, ConfChange{Op: Promote, Member: member})
+			return
+		}
+	}
+	_ = n.r.ProposeChange(0, ConfChange{Op: RemoveMember, Member: Member{ID: s.lost}})
+}
+
+// heal ends all faults and waits until the replicas agree.
+func (s *sim) heal() {
+	s.blocked = map[[2]ReplicaID]bool{}
+	s.loss, s.dup, s.delay = 0, 0, 0
+	for _, n := range s.nodes {
+		n.speed = 1
+		if n.r == nil {
+			s.start(n)
+		}
+	}
+	for range 40 {
+		s.run(10)
+		s.repair()
+	}
+	s.checkAgreement()
+}
+
+// checkAgreement expects one leader, equal logs and every acknowledged command.
+func (s *sim) checkAgreement() {
+	leader := s.leader()
+	if leader == nil {
+		s.failf("no leader after all faults ended")
+		return
+	}
+	number := s.propose(leader)
+	s.run(5)
+	if _, ok := s.acked[number]; !ok {
+		s.failf("the healed cluster commits nothing")
+	}
+	for _, n := range s.nodes {
+		if n.applied != leader.applied || n.digest != leader.digest {
+			s.failf("replica %s applied %d, the leader %d", n.id, n.applied, leader.applied)
+		}
+		for _, e := range n.r.log.entries {
+			if term, ok := leader.r.log.term(e.Index); ok && term != e.Term {
+				s.failf("log of replica %s does not match the leader's at entry %d", n.id, e.Index)
+			}
+		}
+	}
+	for number, index := range s.acked {
+		if s.log[index].Number != number {
+			s.failf("acknowledged command %d is not at entry %d", number, index)
+		}
+	}
+	if s.lost != 0 {
+		s.failf("the repair did not end")
+	}
+}
--- /dev/null
+++ b/core/quorum/traps_test.go
@@ -0,0 +1,327 @@
+package quorum
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+)
+
+// settled returns a cluster with a leader and ten committed commands.
+func settled(replicas int) *sim {
+	s := newSim(1, replicas)
+	s.run(60)
+	for range 10 {
+		s.propose(s.leader())
+		s.run(3)
+	}
+	return s
+}
+
+func (s *sim) followers() []*node {
+	var out []*node
+	for _, n := range s.nodes {
+		if n != s.leader() {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (s *sim) isolate(n *node) {
+	for _, other := range s.nodes {
+		s.blocked[[2]ReplicaID{n.id, other.id}] = true
+		s.blocked[[2]ReplicaID{other.id, n.id}] = true
+	}
+}
+
+// replace wipes n and carries the repair through.
+func (s *sim) replace(n *node) {
+	s.lost = n.id
+	s.crash(n)
+	s.wipe(n)
+	for i := 0; s.lost != 0 && i < 50; i++ {
+		s.repair()
+		s.run(10)
+	}
+}
+
+func TestTraps(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(is *is.I, s *sim)
+	}{
+		{"a lost disk returns as a learner and not as its old self", lostDiskReturns},
+		{"a second VM lost right after the repair", secondLossAfterRepair},
+		{"a leader cut off for an hour", leaderCutOff},
+		{"a leader cut off with its clock stopped", leaderFrozen},
+		{"a follower that hears but is not heard", deafLeader},
+		{"a rejoining replica does not disturb the leader", preVoteKeepsLeader},
+		{"membership changes go one at a time", changesOneAtATime},
+		{"a change that would lose the quorum", unsafeChange},
+		{"leadership moves to a chosen voter", transfer},
+		{"a leader removes itself", leaderRemovesItself},
+		{"another cluster's message", otherCluster},
+		{"a disk rolled back to an older state", rolledBack},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := settled(3)
+			c.run(is, s)
+			s.heal()
+			is.Equal(s.errs, nil)
+		})
+	}
+}
+
+func lostDiskReturns(is *is.I, s *sim) {
+	n := s.followers()[0]
+	old := n.id
+	s.lost = old
+	s.crash(n)
+	s.wipe(n)
+	vote := Message{Type: MsgVote, Cluster: simCluster, From: s.leader().id, To: old, Term: 99, Index: 99, LogTerm: 99}
+	is.True(errorx.IsOfType(n.r.Step(vote), NotAddressed))
+	s.run(100)
+	is.Equal(n.r.Status().Role, Follower)
+	is.Equal(n.r.Status().Term, uint64(0)) // never campaigned
+
+	s.isolate(n)
+	learner := Member{ID: n.id}
+	is.NoErr(s.leader().r.ProposeChange(0, ConfChange{Op: AddLearner, Member: learner}))
+	s.run(30)
+	err := s.leader().r.ProposeChange(0, ConfChange{Op: Promote, Member: learner})
+	is.True(errorx.IsOfType(err, NotCaughtUp))
+	s.blocked = map[[2]ReplicaID]bool{}
+	s.run(50)
+	is.NoErr(s.leader().r.ProposeChange(0, ConfChange{Op: Promote, Member: learner}))
+}
+
+func secondLossAfterRepair(is *is.I, s *sim) {
+	s.replace(s.followers()[0])
+	is.Equal(s.lost, ReplicaID(0))
+	before := len(s.acked)
+	s.propose(s.leader())
+	s.run(5)
+	is.Equal(len(s.acked), before+1)
+	s.replace(s.leader())
+	is.Equal(s.lost, ReplicaID(0))
+	s.replace(s.followers()[1])
+}
+
+func leaderCutOff(is *is.I, s *sim) {
+	const hourOfTicks = 36000 // of 100 ms
+	old := s.leader()
+	s.isolate(old)
+	number := s.propose(old)
+	s.read(old)
+	s.run(100)
+	for range 20 {
+		s.propose(s.leader())
+		s.run(hourOfTicks / 20)
+	}
+	is.True(s.leader() != old)
+	is.Equal(old.r.Status().Role, PreCandidate)
+	_, acked := s.acked[number]
+	is.True(!acked)
+	is.Equal(len(old.reads), 1) // still unanswered
+	is.True(errorx.IsOfType(old.r.Propose(0, nil), NotLeader))
+	is.True(errorx.IsOfType(old.r.ReadIndex(0), NotLeader))
+}
+
+func leaderFrozen(is *is.I, s *sim) {
+	old := s.leader()
+	s.isolate(old)
+	old.speed = 0
+	s.run(100)
+	fresh := s.leader()
+	is.True(fresh != old)
+	s.propose(fresh)
+	s.run(5)
+	is.Equal(old.r.Status().Role, Leader) // it cannot know
+	s.read(old)
+	number := s.propose(old)
+	s.run(100)
+	_, acked := s.acked[number]
+	is.True(!acked)
+	is.Equal(len(old.reads), 1)
+}
+
+func deafLeader(is *is.I, s *sim) {
+	old := s.leader()
+	for _, n := range s.followers() {
+		s.blocked[[2]ReplicaID{n.id, old.id}] = true
+	}
+	s.run(200)
+	is.True(s.leader() != nil)
+	is.True(s.leader() != old)
+}
+
+func preVoteKeepsLeader(is *is.I, s *sim) {
+	term := s.leader().r.Status().Term
+	n := s.followers()[0]
+	s.isolate(n)
+	s.run(500)
+	s.blocked = map[[2]ReplicaID]bool{}
+	s.run(100)
+	is.Equal(s.leader().r.Status().Term, term)
+	is.Equal(n.r.Status().Term, term)
+}
+
+func changesOneAtATime(is *is.I, s *sim) {
+	r := s.leader().r
+	is.NoErr(r.ProposeChange(0, ConfChange{Op: AddLearner, Member: Member{ID: 50}}))
+	err := r.ProposeChange(0, ConfChange{Op: AddLearner, Member: Member{ID: 51}})
+	is.True(errorx.IsOfType(err, ChangePending))
+	s.run(5)
+	for _, c := range []ConfChange{
+		{Op: AddLearner, Member: Member{ID: 50}},
+		{Op: AddLearner},
+		{Op: Promote, Member: Member{ID: 1}},
+		{Op: RemoveMember, Member: Member{ID: 60}},
+		{Op: 9},
+	} {
+		is.True(errorx.IsOfType(r.ProposeChange(0, c), InvalidChange))
+	}
+	is.NoErr(r.ProposeChange(0, ConfChange{Op: RemoveMember, Member: Member{ID: 50}}))
+}
+
+func unsafeChange(is *is.I, s *sim) {
+	dead, live := s.followers()[0], s.followers()[1]
+	s.crash(dead)
+	s.run(40)
+	err := s.leader().r.ProposeChange(0, ConfChange{Op: RemoveMember, Member: Member{ID: live.id}})
+	is.True(errorx.IsOfType(err, UnsafeChange))
+	err = s.leader().r.TransferLeadership(dead.id)
+	is.True(errorx.IsOfType(err, NotCaughtUp))
+}
+
+func transfer(is *is.I, s *sim) {
+	old, to := s.leader(), s.followers()[1]
+	is.True(errorx.IsOfType(old.r.TransferLeadership(77), InvalidChange))
+	s.propose(old)
+	is.NoErr(old.r.TransferLeadership(to.id))
+	is.True(errorx.IsOfType(old.r.Propose(0, nil), Transferring))
+	s.run(8)
+	is.Equal(s.leader().id, to.id)
+}
+
+func leaderRemovesItself(is *is.I, s *sim) {
+	old := s.leader()
+	is.NoErr(old.r.ProposeChange(0, ConfChange{Op: RemoveMember, Member: Member{ID: old.id}}))
+	s.run(60)
+	is.True(s.leader() != old)
+	is.Equal(old.r.Status().Role, Follower)
+	s.nodes = slices.DeleteFunc(s.nodes, func(n *node) bool { return n == old })
+}
+
+func otherCluster(is *is.I, s *sim) {
+	m := Message{Type: MsgHeartbeat, Cluster: simCluster + 1, From: 2, To: 1, Term: 99}
+	is.True(errorx.IsOfType(s.nodes[0].r.Step(m), ClusterMismatch))
+}
+
+func rolledBack(is *is.I, s *sim) {
+	n := s.followers()[0]
+	m := Message{Type: MsgHeartbeat, Cluster: simCluster, From: s.leader().id, To: n.id, Term: n.r.term, Commit: 99}
+	is.True(errorx.IsOfType(n.r.Step(m), RolledBack))
+}
+
+// TestVoteIsSynced covers a vote in a term that is on disk already.
+func TestVoteIsSynced(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 3)
+	r := s.nodes[0].r
+	is.NoErr(r.Step(Message{Type: MsgVoteResp, Cluster: simCluster, From: 2, To: 1, Term: 5, Reject: true}))
+	s.pump(s.nodes[0], 0)
+	is.NoErr(r.Step(Message{Type: MsgVote, Cluster: simCluster, From: 2, To: 1, Term: 5, Index: 9, LogTerm: 4}))
+	rd := r.Ready()
+	is.True(rd.MustSync)
+	is.Equal(rd.HardState.Vote, ReplicaID(2))
+	is.Equal(rd.EarlyMessages, nil)
+	is.Equal(rd.Messages[0].Type, MsgVoteResp)
+}
+
+// TestOlderTermIsNotCommittedByCount is figure 8 of the Raft paper.
+func TestOlderTermIsNotCommittedByCount(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 3)
+	n := s.nodes[0]
+	n.disk.hard.Term, n.disk.entries = 2, []Entry{{Index: 2, Term: 2}}
+	s.start(n)
+	for n.r.role != PreCandidate {
+		n.r.Tick()
+	}
+	is.NoErr(n.r.Step(Message{Type: MsgPreVoteResp, Cluster: simCluster, From: 2, To: 1, Term: 3}))
+	is.NoErr(n.r.Step(Message{Type: MsgVoteResp, Cluster: simCluster, From: 2, To: 1, Term: 3}))
+	s.pump(n, 0)
+	ack := Message{Type: MsgAppendResp, Cluster: simCluster, From: 2, To: 1, Term: 3, Index: 2}
+	is.NoErr(n.r.Step(ack))
+	is.Equal(n.r.Status().Committed, uint64(1))
+	ack.Index = 3
+	is.NoErr(n.r.Step(ack))
+	is.Equal(n.r.Status().Committed, uint64(3))
+}
+
+// TestLiveLeaderIsNotDisturbed covers a vote request of a removed replica.
+func TestLiveLeaderIsNotDisturbed(t *testing.T) {
+	is := is.New(t)
+	s := settled(3)
+	n, term := s.followers()[0], s.leader().r.term
+	vote := Message{Type: MsgVote, Cluster: simCluster, From: 9, To: n.id, Term: term + 5, Index: 99, LogTerm: term + 5}
+	is.NoErr(n.r.Step(vote))
+	is.Equal(n.r.term, term)
+	vote.Transfer = true
+	is.NoErr(n.r.Step(vote))
+	is.Equal(n.r.term, term+5)
+}
+
+// TestUnsavedTermSendsNothingEarly covers a sole voter that elects itself: a
+// crash before the save would use the same term twice.
+func TestUnsavedTermSendsNothingEarly(t *testing.T) {
+	is := is.New(t)
+	hard, snapshot := Bootstrap(simCluster, Member{ID: 1}, Member{ID: 2, Learner: true})
+	r, err := New(Config{ID: 1, Rand: rand.New(rand.NewPCG(1, 1)), HardState: hard, Snapshot: snapshot})
+	is.NoErr(err)
+	for r.role != Leader {
+		r.Tick()
+	}
+	rd := r.Ready()
+	is.Equal(rd.EarlyMessages, nil)
+	is.Equal(len(rd.Messages), 2) // append and heartbeat
+	r.Advance(rd)
+	is.NoErr(r.Step(Message{Type: MsgAppendResp, Cluster: hard.Cluster, From: 2, To: 1, Term: 2, Index: 2}))
+	is.NoErr(r.Propose(1, nil))
+	is.True(len(r.Ready().EarlyMessages) > 0)
+}
+
+func TestNewRefusesContradictions(t *testing.T) {
+	_, first := Bootstrap(simCluster, Member{ID: 1})
+	entry := func(index, term uint64) Entry { return Entry{Index: index, Term: term} }
+	cases := []struct {
+		name    string
+		hard    HardState
+		entries []Entry
+		bad     bool
+	}{
+		{"whole log", HardState{Term: 2, Commit: 3}, []Entry{entry(2, 1), entry(3, 2)}, false},
+		{"log from before the snapshot", HardState{Term: 2}, []Entry{entry(1, 1), entry(2, 2)}, false},
+		{"gap after the snapshot", HardState{Term: 2}, []Entry{entry(3, 2)}, true},
+		{"gap within the log", HardState{Term: 2}, []Entry{entry(2, 1), entry(4, 1)}, true},
+		{"falling terms", HardState{Term: 2}, []Entry{entry(2, 2), entry(3, 1)}, true},
+		{"commit beyond the log", HardState{Term: 2, Commit: 9}, []Entry{entry(2, 1)}, true},
+		{"term below the log's", HardState{Term: 1}, []Entry{entry(2, 2)}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := New(Config{
+				ID: 1, Rand: rand.New(rand.NewPCG(1, 1)),
+				HardState: c.hard, Snapshot: first, Entries: c.entries,
+			})
+			is.Equal(errorx.IsOfType(err, BadState), c.bad)
+		})
+	}
+}
