Run the fleet's state under a log

A lost answer is an error of its own type, since the command may have taken effect. Local is a log in memory for a process of all roles.

Restored times are normalized, so a restored state equals the one it was taken of.

--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -34,6 +34,23 @@
 	return fmt.Sprintf("kind(%d)", uint8(k))
 }
 
+// MarshalText returns the kind's name.
+func (k Kind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText reads the kind's name.
+func (k *Kind) UnmarshalText(text []byte) error { return unmarshalName(kindNames, k, text) }
+
+// unmarshalName sets value to the one that names has text for.
+func unmarshalName[T comparable](names map[T]string, value *T, text []byte) error {
+	for v, name := range names {
+		if name == string(text) {
+			*value = v
+			return nil
+		}
+	}
+	return ErrValue.New("%q is not a known name", text)
+}
+
 // Command is one entry of the replicated log.
 type Command struct {
 	Kind Kind `cbor:"1,keyasint" json:"kind"`
@@ -88,6 +105,12 @@
 	return fmt.Sprintf("outcome(%d)", uint8(o))
 }
 
+// MarshalText returns the outcome's name.
+func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
+// UnmarshalText reads the outcome's name.
+func (o *Outcome) UnmarshalText(text []byte) error { return unmarshalName(outcomeNames, o, text) }
+
 // Result is the answer to a command.
 type Result struct {
 	Outcome Outcome `cbor:"1,keyasint" json:"outcome"`
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -42,7 +42,8 @@
 	}
 }
 
-// Restore returns the machine that s was taken of.
+// Restore returns the machine that s was taken of. It keeps s, so a machine
+// that s was taken of in the same process must not be read any more.
 func Restore(s Snapshot) (*Machine, error) {
 	if s.Format != snapshotFormat {
 		return nil, ErrSnapshot.New("snapshot has format %d, not %d", s.Format, snapshotFormat)
@@ -62,7 +63,7 @@
 		version:  s.Version,
 		revision: s.Revision,
 		nextID:   s.NextID,
-		drains:   slices.Clip(s.Drains),
+		drains:   normalDrains(s.Drains),
 		history:  newHistory(s.History),
 		answers:  newAnswers(s.Answers),
 		index:    s.Index,
@@ -89,7 +90,16 @@
 		if s.History[i].Version != want {
 			return ErrSnapshot.New("history entry %d is of version %d, not %d", i, s.History[i].Version, want)
 		}
+		s.History[i].At = wholeSeconds(s.History[i].At)
 		s.History[i].Undo.normalize()
 	}
 	return nil
 }
+
+func normalDrains(list []Drain) []Drain {
+	drains := slices.Clone(list)
+	for i := range drains {
+		drains[i].At = wholeSeconds(drains[i].At)
+	}
+	return drains
+}
--- /dev/null
+++ b/daemon/internal/fleetstore/store.go
@@ -0,0 +1,72 @@
+package fleetstore
+
+import (
+	"context"
+	"sync"
+
+	"fulmarmount.org/core/fleet"
+)
+
+// Log is a replicated log that applies entries to a Machine.
+type Log interface {
+	// Propose appends the command and returns what Machine.Apply answered.
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	// Barrier returns once the local Machine has every command that was
+	// acknowledged before the call.
+	Barrier(ctx context.Context) error
+}
+
+// Store gives operators the replicated state.
+type Store struct {
+	log     Log
+	machine *Machine
+}
+
+// NewStore returns a store over a log that applies to machine.
+func NewStore(log Log, machine *Machine) *Store { return &Store{log: log, machine: machine} }
+
+// Propose runs a command. An error of type ErrPropose leaves its result
+// unknown.
+func (s *Store) Propose(ctx context.Context, c fleet.Command) (fleet.Result, error) {
+	data, err := EncodeCommand(c)
+	if err != nil {
+		return fleet.Result{}, err
+	}
+	answer, err := s.log.Propose(ctx, data)
+	if err != nil {
+		return fleet.Result{}, ErrPropose.Wrap(err, "cannot tell whether command %s took effect", c.Kind)
+	}
+	return DecodeResult(answer)
+}
+
+// Read calls read with a state that holds every acknowledged command.
+func (s *Store) Read(ctx context.Context, read func(*fleet.Machine)) error {
+	if err := s.log.Barrier(ctx); err != nil {
+		return err
+	}
+	s.machine.Read(read)
+	return nil
+}
+
+// Local is a log of one process, in memory alone: for the embedded default,
+// whose state ends with its process.
+type Local struct {
+	machine *Machine
+
+	mu    sync.Mutex
+	index uint64
+}
+
+// NewLocal returns a log that applies to machine.
+func NewLocal(machine *Machine) *Local { return &Local{machine: machine} }
+
+// Propose implements Log.
+func (l *Local) Propose(_ context.Context, command []byte) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.index++
+	return l.machine.Apply(l.index, command), nil
+}
+
+// Barrier implements Log.
+func (l *Local) Barrier(ctx context.Context) error { return ctx.Err() }
