--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -31,6 +31,9 @@
 	// Spray is the number of balancers on this host that share the service
 	// addresses packet by packet; 0 where the fabric does that.
 	Spray int
+	// Wildcard binds the unspecified address of each port in place of each
+	// service address of its own.
+	Wildcard bool
 	// MTU is the largest IP packet in bytes between balancers and agents.
 	MTU int
 	// ReadBuffer is the kernel's receive buffer of each socket in bytes.
@@ -61,8 +64,12 @@
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 
+	// streams counts the connections that are open.
+	streams sync.WaitGroup
+
 	mu        sync.Mutex
 	listeners map[listenKey]listener
+	stopping  bool
 }
 
 // listenKey names a listener of a service address.
@@ -103,15 +110,45 @@
 	return b, nil
 }
 
-// Close closes every socket. Flows go on through other balancers.
-func (b *Balancer) Close() error {
-	b.cancel()
+// Stop takes no new connections, waits until those that are open have ended or
+// ctx ends, and closes every socket.
+func (b *Balancer) Stop(ctx context.Context) error {
+	b.closeListeners(proto.ModeStream)
+	wait(ctx, &b.streams)
+	return b.Close()
+}
+
+// wait waits for a group until ctx ends.
+func wait(ctx context.Context, group *sync.WaitGroup) {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-ctx.Done():
+	case <-done:
+	}
+}
+
+// closeListeners closes the listeners of one mode.
+func (b *Balancer) closeListeners(mode proto.Mode) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stopping = true
 	for key, l := range b.listeners {
-		_ = l.Close()
-		delete(b.listeners, key)
+		if key.mode == mode {
+			_ = l.Close()
+			delete(b.listeners, key)
+		}
 	}
-	b.mu.Unlock()
+}
+
+// Close closes every socket. Flows go on through other balancers.
+func (b *Balancer) Close() error {
+	b.cancel()
+	b.closeListeners(proto.ModeStream)
+	b.closeListeners(proto.ModePacket)
 	err := b.envelopes.Close()
 	b.pool.Close()
 	b.tasks.Wait()
@@ -131,11 +168,14 @@
 	want := make(map[listenKey]bool)
 	for _, s := range services {
 		for _, addr := range s.Addresses {
-			want[listenKey{mode: s.Mode, addr: addr}] = true
+			want[b.listenKey(s.Mode, addr)] = true
 		}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.stopping {
+		return
+	}
 	for key, l := range b.listeners {
 		if !want[key] {
 			_ = l.Close()
@@ -155,6 +195,14 @@
 	}
 }
 
+// listenKey names the listener that serves a service address.
+func (b *Balancer) listenKey(mode proto.Mode, addr netip.AddrPort) listenKey {
+	if b.options.Wildcard {
+		addr = netip.AddrPortFrom(netip.IPv4Unspecified(), addr.Port())
+	}
+	return listenKey{mode: mode, addr: addr}
+}
+
 func (b *Balancer) listen(key listenKey) (listener, error) {
 	if key.mode == proto.ModeStream {
 		return b.listenStream(key.addr)
