Hand fleet state to daemons as numbered changes

Control sent its whole state to every daemon after each change, and a daemon that reconnected to another control process could fall behind what it had in force. Services and views are now items of core/spread: a Publisher serves subscriptions over peer streams, daemons adopt changes only, agents follow their own service alone, and reconnects wait for a full-jitter delay and try a new port after silence. The balancer's table takes changes instead of a whole state.

--- /dev/null
+++ b/daemon/internal/proto/item.go
@@ -0,0 +1,78 @@
+package proto
+
+import (
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
+
+	"fulmarmount.org/core/spread"
+	"fulmarmount.org/core/view"
+)
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("proto")
+
+// BadItem is returned for a disseminated item that can't be encoded or decoded.
+var BadItem = Errors.NewType("bad_item")
+
+// The keys of disseminated items are a prefix and the name of a service.
+const (
+	servicePrefix = "service/"
+	viewPrefix    = "view/"
+)
+
+// ServiceKey returns the key of a service's configuration.
+func ServiceKey(name string) string { return servicePrefix + name }
+
+// ViewKey returns the key of a service's view.
+func ViewKey(name string) string { return viewPrefix + name }
+
+// ServiceItem encodes a service's configuration.
+func ServiceItem(s Service, version view.Version) (spread.Item, error) {
+	return item(ServiceKey(s.Name), version, s)
+}
+
+// ViewItem encodes the view of the service of a given name.
+func ViewItem(name string, v *view.View) (spread.Item, error) {
+	return item(ViewKey(name), v.Version, v)
+}
+
+func item(key string, version view.Version, content any) (spread.Item, error) {
+	body, err := cbor.Marshal(content)
+	if err != nil {
+		return spread.Item{}, BadItem.Wrap(err, "encode %q", key)
+	}
+	return spread.Item{Key: key, Version: version, Body: body}, nil
+}
+
+// Update is what has come in force at a daemon.
+type Update struct {
+	// Services are new or changed; Removed names those that no longer exist.
+	Services []Service
+	Removed  []string
+	// Views are new or changed. The view of a removed service goes with it.
+	Views []*view.View
+}
+
+// Add decodes an item into u.
+func (u *Update) Add(it spread.Item) error {
+	switch {
+	case strings.HasPrefix(it.Key, servicePrefix) && it.Deleted:
+		u.Removed = append(u.Removed, strings.TrimPrefix(it.Key, servicePrefix))
+	case strings.HasPrefix(it.Key, servicePrefix):
+		var s Service
+		if err := cbor.Unmarshal(it.Body, &s); err != nil {
+			return BadItem.Wrap(err, "decode %q at %v", it.Key, it.Version)
+		}
+		u.Services = append(u.Services, s)
+	case strings.HasPrefix(it.Key, viewPrefix) && !it.Deleted:
+		v := &view.View{}
+		if err := cbor.Unmarshal(it.Body, v); err != nil {
+			return BadItem.Wrap(err, "decode %q at %v", it.Key, it.Version)
+		}
+		v.Prepare()
+		u.Views = append(u.Views, v)
+	}
+	return nil
+}
--- a/daemon/internal/proto/proto.go
+++ b/daemon/internal/proto/proto.go
@@ -13,7 +13,7 @@
 const (
 	// Announce: an agent to control; view.Announcement one way, AnnounceReply back.
 	Announce = "announce"
-	// Subscribe: a daemon to control; Hello one way, Update back.
+	// Subscribe: a daemon to control; spread.Up one way, spread.Down back.
 	Subscribe = "subscribe"
 	// Tunnel: a balancer to an agent; TunnelOpen, TunnelReply, then raw bytes
 	// both ways.
@@ -29,12 +29,6 @@
 	Lease time.Duration `cbor:"3,keyasint"`
 }
 
-// Hello is a daemon's first message on a Subscribe stream.
-type Hello struct {
-	Name string `cbor:"1,keyasint"`
-	Role string `cbor:"2,keyasint"`
-}
-
 // Mode is how a service is balanced.
 type Mode string
 
@@ -52,13 +46,6 @@
 	Addresses []netip.AddrPort `cbor:"4,keyasint"`
 }
 
-// Update is the state of the fleet as one control process knows it.
-type Update struct {
-	Version  view.Version `cbor:"1,keyasint"`
-	Services []Service    `cbor:"2,keyasint"`
-	Views    []*view.View `cbor:"3,keyasint"`
-}
-
 // TunnelOpen asks an agent to connect to its backend server.
 type TunnelOpen struct {
 	Service     view.ServiceID   `cbor:"1,keyasint"`
--- a/daemon/internal/role/agent/agent.go
+++ b/daemon/internal/role/agent/agent.go
@@ -115,10 +115,12 @@
 	a.tasks.Go(func() { a.announce(ctx) })
 	a.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
+			Name:    o.ID,
+			Keys:    []string{proto.ServiceKey(o.Service), proto.ViewKey(o.Service)},
 			Control: o.Control,
 			Pool:    a.pool,
-			Hello:   proto.Hello{Name: o.ID, Role: "agent"},
 			Adopt:   a.adopt,
+			Now:     o.Now,
 			Log:     o.Log,
 		})
 	})
--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -90,6 +90,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{
 		options:   o,
+		table:     newTable(),
 		sealer:    packet.NewSealer(o.Keys, o.Session),
 		opener:    packet.NewOpener(o.Keys, o.Now),
 		envelopes: envelopes,
@@ -100,10 +101,11 @@
 	b.tasks.Go(b.readEnvelopes)
 	b.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
+			Name:    o.Name,
 			Control: o.Control,
 			Pool:    b.pool,
-			Hello:   proto.Hello{Name: o.Name, Role: "balancer"},
 			Adopt:   b.adopt,
+			Now:     o.Now,
 			Log:     o.Log,
 		})
 	})
@@ -157,10 +159,10 @@
 
 // adopt puts an update in force.
 func (b *Balancer) adopt(u proto.Update) {
-	if !b.table.adopt(u) {
-		return
+	services := b.table.adopt(u)
+	if len(u.Services) > 0 || len(u.Removed) > 0 {
+		b.reconcile(services)
 	}
-	b.reconcile(u.Services)
 }
 
 // reconcile opens and closes listeners so that they match the services.
--- a/daemon/internal/role/balancer/dump.go
+++ b/daemon/internal/role/balancer/dump.go
@@ -10,7 +10,6 @@
 type Dump struct {
 	Envelopes netip.AddrPort   `json:"envelopes"`
 	Listeners []netip.AddrPort `json:"listeners"`
-	Version   view.Version     `json:"version"`
 	Views     []*view.View     `json:"views"`
 	Counters  Counters         `json:"counters"`
 }
@@ -33,7 +32,7 @@
 		d.Listeners = append(d.Listeners, key.addr)
 	}
 	b.mu.Unlock()
-	d.Version, d.Views = b.table.snapshot()
+	d.Views = b.table.snapshot()
 	return d
 }
 
--- a/daemon/internal/role/balancer/table.go
+++ b/daemon/internal/role/balancer/table.go
@@ -15,30 +15,64 @@
 // table maps service addresses to services and their views.
 type table struct {
 	mu        sync.RWMutex
-	version   view.Version
+	services  map[string]proto.Service
 	addresses map[netip.AddrPort]view.ServiceID
 	views     map[view.ServiceID]*view.View
 }
 
-// adopt puts an update in force unless it is older than what is.
-func (t *table) adopt(u proto.Update) bool {
+func newTable() table {
+	return table{
+		services:  make(map[string]proto.Service),
+		addresses: make(map[netip.AddrPort]view.ServiceID),
+		views:     make(map[view.ServiceID]*view.View),
+	}
+}
+
+// adopt puts an update in force and returns the services that exist then.
+func (t *table) adopt(u proto.Update) []proto.Service {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !u.Version.Newer(t.version) {
-		return false
+	for _, name := range u.Removed {
+		t.remove(name)
+	}
+	for _, s := range u.Services {
+		if old, ok := t.services[s.Name]; ok && old.ID != s.ID {
+			t.remove(s.Name)
+		} else {
+			t.unmap(old)
+		}
 	}
-	t.version = u.Version
-	t.addresses = make(map[netip.AddrPort]view.ServiceID)
 	for _, s := range u.Services {
+		t.services[s.Name] = s
 		for _, addr := range s.Addresses {
 			t.addresses[addr] = s.ID
 		}
 	}
-	t.views = make(map[view.ServiceID]*view.View, len(u.Views))
 	for _, v := range u.Views {
-		t.views[v.Service] = v
+		if old := t.views[v.Service]; old == nil || v.Version.Newer(old.Version) {
+			t.views[v.Service] = v
+		}
+	}
+	return slices.Collect(maps.Values(t.services))
+}
+
+func (t *table) remove(name string) {
+	s, ok := t.services[name]
+	if !ok {
+		return
+	}
+	t.unmap(s)
+	delete(t.views, s.ID)
+	delete(t.services, name)
+}
+
+// unmap gives up the addresses of a service that are still its own.
+func (t *table) unmap(s proto.Service) {
+	for _, addr := range s.Addresses {
+		if t.addresses[addr] == s.ID {
+			delete(t.addresses, addr)
+		}
 	}
-	return true
 }
 
 // pick chooses the agent of a flow.
@@ -70,11 +104,11 @@
 	return 0
 }
 
-// snapshot returns the version and the views in force.
-func (t *table) snapshot() (view.Version, []*view.View) {
+// snapshot returns the views in force.
+func (t *table) snapshot() []*view.View {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.version, slices.Collect(maps.Values(t.views))
+	return slices.Collect(maps.Values(t.views))
 }
 
 // available returns how many members of a service's view take new flows.
--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -6,15 +6,18 @@
 	"context"
 	"crypto/tls"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/daemon/internal/subscribe"
 )
 
 // Options configure a Control.
@@ -43,12 +46,12 @@
 	server  *peer.Server
 	cancel  context.CancelFunc
 
+	publisher *subscribe.Publisher
+
 	mu       sync.Mutex
-	version  view.Version
 	services []proto.Service
 	members  map[string]member
 	views    map[view.ServiceID]*view.View
-	changed  chan struct{}
 }
 
 // member is an announced backend server.
@@ -59,14 +62,17 @@
 
 // Start opens the socket and serves daemons until Close.
 func Start(o Options) (*Control, error) {
+	publisher, err := subscribe.NewPublisher(subscribe.PublisherOptions{Epoch: o.Epoch, Now: o.Now})
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{
-		options: o,
-		cancel:  cancel,
-		version: view.Version{Epoch: o.Epoch},
-		members: make(map[string]member),
-		views:   make(map[view.ServiceID]*view.View),
-		changed: make(chan struct{}),
+		options:   o,
+		cancel:    cancel,
+		publisher: publisher,
+		members:   make(map[string]member),
+		views:     make(map[view.ServiceID]*view.View),
 	}
 	server, err := peer.Listen(peer.ServerOptions{
 		Addr: o.Listen,
@@ -74,7 +80,7 @@
 		Log:  o.Log,
 		Handlers: map[string]peer.Handler{
 			proto.Announce:  c.announce,
-			proto.Subscribe: c.subscribe,
+			proto.Subscribe: publisher.Handle,
 		},
 	})
 	if err != nil {
@@ -82,6 +88,7 @@
 		return nil, err
 	}
 	c.server = server
+	go publisher.Run(ctx)
 	go c.sweep(ctx)
 	return c, nil
 }
@@ -102,11 +109,30 @@
 func (c *Control) SetServices(services []proto.Service) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, s := range c.services {
+		if !slices.ContainsFunc(services, func(n proto.Service) bool { return n.Name == s.Name }) {
+			c.remove(s)
+		}
+	}
 	c.services = services
 	for _, s := range services {
+		c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ServiceItem(s, at) }))
 		c.publish(s)
 	}
-	c.notify()
+}
+
+// remove deletes a service and its view. The caller holds the lock.
+func (c *Control) remove(s proto.Service) {
+	delete(c.views, s.ID)
+	c.check(c.publisher.Delete(proto.ServiceKey(s.Name)))
+	c.check(c.publisher.Delete(proto.ViewKey(s.Name)))
+}
+
+// check logs what could not be published.
+func (c *Control) check(err error) {
+	if err != nil {
+		c.options.Log.Error("Cannot publish.", zap.Error(err))
+	}
 }
 
 // announce serves one agent's announcements.
@@ -141,7 +167,6 @@
 	if !exists || !sameMember(known.announcement, a) {
 		c.options.Log.Info("Took an announcement.", zap.String("id", a.ID), zap.String("service", a.Service))
 		c.publish(service)
-		c.notify()
 	}
 	return proto.AnnounceReply{Accepted: true, Lease: lease}
 }
@@ -172,14 +197,17 @@
 
 // publish numbers a new view of a service. The caller holds the lock.
 func (c *Control) publish(s proto.Service) {
-	c.version.Number++
 	var members []view.BackendServer
 	for _, m := range c.members {
 		if m.announcement.Service == s.Name {
 			members = append(members, backendServer(m.announcement))
 		}
 	}
-	c.views[s.ID] = view.New(s.ID, c.version, members)
+	c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) {
+		v := view.New(s.ID, at, members)
+		c.views[s.ID] = v
+		return proto.ViewItem(s.Name, v)
+	}))
 }
 
 func backendServer(a view.Announcement) view.BackendServer {
@@ -220,42 +248,5 @@
 		if s, ok := c.service(m.announcement.Service); ok {
 			c.publish(s)
 		}
-		c.notify()
-	}
-}
-
-// notify wakes the subscribers. The caller holds the lock.
-func (c *Control) notify() {
-	c.version.Number++
-	close(c.changed)
-	c.changed = make(chan struct{})
-}
-
-// subscribe sends the whole state after every change.
-func (c *Control) subscribe(ctx context.Context, _ keys.Info, s *peer.Stream) {
-	var hello proto.Hello
-	if err := s.Recv(&hello); err != nil {
-		return
-	}
-	for {
-		update, changed := c.state()
-		if err := s.Send(update); err != nil {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
-func (c *Control) state() (proto.Update, <-chan struct{}) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	update := proto.Update{Version: c.version, Services: c.services}
-	for _, v := range c.views {
-		update.Views = append(update.Views, v)
 	}
-	return update, c.changed
 }
--- a/daemon/internal/role/control/dump.go
+++ b/daemon/internal/role/control/dump.go
@@ -23,7 +23,7 @@
 	defer c.mu.Unlock()
 	return Dump{
 		Listen:   c.server.Addr(),
-		Version:  c.version,
+		Version:  c.publisher.Position(),
 		Services: c.services,
 		Views:    slices.Collect(maps.Values(c.views)),
 	}
--- /dev/null
+++ b/daemon/internal/subscribe/publisher.go
@@ -0,0 +1,194 @@
+package subscribe
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"fulmarmount.org/core/spread"
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/peer"
+)
+
+// Errors of subscriptions.
+var (
+	Errors = errorx.NewNamespace("subscribe")
+
+	// Refused: a control process serves enough others.
+	Refused = Errors.NewType("refused")
+	// Silent: a control process did not answer in time.
+	Silent = Errors.NewType("silent")
+)
+
+const (
+	// batchWindow is how long changes are gathered before they are sent.
+	batchWindow = 100 * time.Millisecond
+	// queueLength bounds the messages that wait for one subscriber. Those
+	// beyond it are dropped and sent again later.
+	queueLength = 64
+)
+
+// PublisherOptions configure a Publisher.
+type PublisherOptions struct {
+	// Epoch is greater than that of every earlier publisher of the fleet.
+	Epoch uint64
+	// Now is the clock.
+	Now func() time.Time
+}
+
+// Publisher publishes the fleet's state from one control process that is its
+// own quorum. It is safe for concurrent use.
+type Publisher struct {
+	options PublisherOptions
+	started time.Time
+
+	mu     sync.Mutex
+	root   *spread.Root
+	queues map[spread.PeerID]chan spread.Down
+	peers  spread.PeerID
+}
+
+// NewPublisher returns a Publisher without items.
+func NewPublisher(o PublisherOptions) (*Publisher, error) {
+	root, err := spread.NewRoot(o.Epoch, spread.NewStore(spread.StoreOptions{}), spread.SourceOptions{
+		BatchWindow: batchWindow,
+		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &Publisher{
+		options: o,
+		started: o.Now(),
+		root:    root,
+		queues:  make(map[spread.PeerID]chan spread.Down),
+	}, nil
+}
+
+func (p *Publisher) now() time.Duration { return p.options.Now().Sub(p.started) }
+
+// Publish numbers an item and hands it to the subscribers. The item is made by
+// a function of the version that it is to carry.
+func (p *Publisher) Publish(item func(view.Version) (spread.Item, error)) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	it, err := item(p.root.Next())
+	if err != nil {
+		return err
+	}
+	_, err = p.root.Publish(it)
+	return err
+}
+
+// Delete removes the item of a key, if there is one.
+func (p *Publisher) Delete(key string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.root.Store().Get(key); !ok {
+		return nil
+	}
+	_, err := p.root.Publish(spread.Item{Key: key, Version: p.root.Next(), Deleted: true})
+	return err
+}
+
+// Position returns the position of the newest change.
+func (p *Publisher) Position() spread.Position {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.root.Store().Position()
+}
+
+// Progress tells at how many daemons a position is in force, and names some of
+// the others.
+func (p *Publisher) Progress(at spread.Position) spread.Progress {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.root.Progress(at)
+}
+
+// Run serves timers until ctx ends.
+func (p *Publisher) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.mu.Lock()
+			p.deliver(p.root.Tick(p.now()))
+			p.mu.Unlock()
+		}
+	}
+}
+
+// Handle serves one subscription.
+func (p *Publisher) Handle(ctx context.Context, _ keys.Info, stream *peer.Stream) {
+	id, queue := p.connect()
+	defer p.disconnect(id)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer stream.Abort()
+		send(ctx, stream, queue)
+	}()
+	for {
+		var m spread.Up
+		if err := stream.Recv(&m); err != nil {
+			return
+		}
+		p.receive(id, m)
+	}
+}
+
+func (p *Publisher) connect() (spread.PeerID, <-chan spread.Down) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers++
+	queue := make(chan spread.Down, queueLength)
+	p.queues[p.peers] = queue
+	return p.peers, queue
+}
+
+func (p *Publisher) disconnect(id spread.PeerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.queues, id)
+	p.root.Disconnected(p.now(), id)
+}
+
+func (p *Publisher) receive(id spread.PeerID, m spread.Up) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.root.Confirm(now)
+	p.deliver(p.root.Receive(now, id, m))
+}
+
+// deliver queues messages. The caller holds the lock.
+func (p *Publisher) deliver(all []spread.Delivery) {
+	for _, d := range all {
+		select {
+		case p.queues[d.Peer] <- d.Message:
+		default:
+		}
+	}
+}
+
+// send writes queued messages until the stream fails or ctx ends.
+func send(ctx context.Context, stream *peer.Stream, queue <-chan spread.Down) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-queue:
+			if err := stream.Send(m); err != nil {
+				return
+			}
+		}
+	}
+}
--- a/daemon/internal/subscribe/subscribe.go
+++ b/daemon/internal/subscribe/subscribe.go
@@ -1,5 +1,5 @@
-// Package subscribe keeps a daemon's subscription to control: it follows the
-// fleet's state and reconnects with jittered delays where control is lost.
+// Package subscribe joins core/spread to peer streams: Run keeps a daemon's
+// subscription to control, a Publisher serves the subscriptions of others.
 package subscribe
 
 import (
@@ -10,73 +10,176 @@
 
 	"go.uber.org/zap"
 
+	"fulmarmount.org/core/spread"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
 )
 
 // Options configure a subscription.
 type Options struct {
-	// Control are the addresses of control processes, tried in turn.
+	// Name is the daemon's; it is unique within the fleet.
+	Name string
+	// Keys restrict what is followed; empty means everything.
+	Keys []string
+	// Control are the addresses of control processes.
 	Control []netip.AddrPort
 	// Pool connects to them.
 	Pool *peer.Pool
-	// Hello introduces the daemon.
-	Hello proto.Hello
-	// Adopt is called with each update, by one goroutine.
+	// Adopt is called with what has come in force, by one goroutine.
 	Adopt func(proto.Update)
-	Log   *zap.Logger
+	// Now is the clock.
+	Now func() time.Time
+	Log *zap.Logger
 }
 
 const (
-	// firstDelay and maxDelay bound the delay before a reconnect. Each delay
-	// is drawn between half and the whole of its bound.
-	firstDelay = 100 * time.Millisecond
-	maxDelay   = 5 * time.Second
+	// firstSpread is the range of the first delay before a reconnect.
+	firstSpread = time.Second
+	// maxSpread bounds the range of later ones.
+	maxSpread = 30 * time.Second
+	// tickInterval is how often timers are looked at.
+	tickInterval = 50 * time.Millisecond
 )
 
-// Run follows the fleet's state until ctx ends.
+// subscription is one daemon's.
+type subscription struct {
+	options Options
+	started time.Time
+	sink    *spread.Sink
+	session uint64
+}
+
+// Run follows the fleet's state until ctx ends. Where control is lost, what is
+// in force stays, and other control processes are tried after a delay.
 func Run(ctx context.Context, o Options) {
-	delay := firstDelay
+	s := &subscription{options: o, started: o.Now()}
+	store := spread.NewStore(spread.StoreOptions{DropBodies: true})
+	s.sink = spread.NewSink(0, store, spread.SinkOptions{ID: o.Name, Keys: o.Keys})
+	backoff := spread.NewBackoff(spread.BackoffOptions{
+		Spread: firstSpread,
+		Max:    maxSpread,
+		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	order := relayOrder(o.Name, o.Control)
 	for i := 0; ctx.Err() == nil; i++ {
-		addr := o.Control[i%len(o.Control)]
-		adopted, err := follow(ctx, o, addr)
+		addr := order[i%len(order)]
+		retryAfter, heard, err := s.follow(ctx, addr)
 		if ctx.Err() != nil {
 			return
 		}
 		o.Log.Warn("Lost control. What is in force stays.", zap.Stringer("control", addr), zap.Error(err))
-		if adopted {
-			delay = firstDelay
+		if heard {
+			backoff.Succeeded()
 		}
-		if !Sleep(ctx, Jitter(delay)) {
+		if !Sleep(ctx, backoff.Next(retryAfter)) {
 			return
 		}
-		delay = min(2*delay, maxDelay)
 	}
 }
 
-// follow reads updates from one control process until the stream ends.
-func follow(ctx context.Context, o Options, addr netip.AddrPort) (adopted bool, err error) {
-	s, err := o.Pool.Open(ctx, addr, proto.Subscribe)
+// relayOrder returns the order in which a daemon tries control processes.
+func relayOrder(name string, control []netip.AddrPort) []netip.AddrPort {
+	byName := make(map[string]netip.AddrPort, len(control))
+	var names []string
+	for _, addr := range control {
+		byName[addr.String()] = addr
+		names = append(names, addr.String())
+	}
+	order := make([]netip.AddrPort, 0, len(names))
+	for _, n := range spread.RelayOrder(name, names) {
+		order = append(order, byName[n])
+	}
+	return order
+}
+
+func (s *subscription) now() time.Duration { return s.options.Now().Sub(s.started) }
+
+// follow runs one session. It returns the delay that a refusal asked for and
+// whether anything was heard.
+func (s *subscription) follow(ctx context.Context, addr netip.AddrPort) (retryAfter time.Duration, heard bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	open := s.options.Pool.Open
+	if s.sink.Silent(s.now()) {
+		open = s.options.Pool.OpenFresh
+	}
+	stream, err := open(ctx, addr, proto.Subscribe)
 	if err != nil {
-		return false, err
+		return 0, false, err
 	}
-	defer s.Abort()
-	stop := context.AfterFunc(ctx, s.Abort)
+	defer s.sink.Disconnected()
+	defer stream.Abort()
+	stop := context.AfterFunc(ctx, stream.Abort)
 	defer stop()
-	if err := s.Send(o.Hello); err != nil {
-		return false, err
+
+	s.session++
+	if err := s.take(stream, s.sink.Connect(s.now(), s.session)); err != nil {
+		return 0, false, err
 	}
+	received, failed := receive(ctx, stream)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
 	for {
-		var update proto.Update
-		if err := s.Recv(&update); err != nil {
-			return adopted, err
+		var out spread.Output
+		select {
+		case err := <-failed:
+			return 0, heard, err
+		case m := <-received:
+			heard = true
+			out = s.sink.Receive(s.now(), m)
+		case <-ticker.C:
+			out = s.sink.Tick(s.now())
+		}
+		if err := s.take(stream, out); err != nil {
+			return 0, heard, err
 		}
-		for _, v := range update.Views {
-			v.Prepare()
+		switch {
+		case out.RetryAfter > 0:
+			return out.RetryAfter, false, Refused.New("%v serves enough others", addr)
+		case s.sink.Silent(s.now()):
+			return 0, heard, Silent.New("nothing was heard from %v", addr)
+		}
+	}
+}
+
+// receive reads messages until the stream fails.
+func receive(ctx context.Context, stream *peer.Stream) (<-chan spread.Down, <-chan error) {
+	received, failed := make(chan spread.Down), make(chan error, 1)
+	go func() {
+		for {
+			var m spread.Down
+			if err := stream.Recv(&m); err != nil {
+				failed <- err
+				return
+			}
+			select {
+			case received <- m:
+			case <-ctx.Done():
+				failed <- ctx.Err()
+				return
+			}
+		}
+	}()
+	return received, failed
+}
+
+// take puts in force what was adopted and sends what is to be sent.
+func (s *subscription) take(stream *peer.Stream, out spread.Output) error {
+	var update proto.Update
+	for _, it := range out.Adopted {
+		if err := update.Add(it); err != nil {
+			s.options.Log.Error("Cannot adopt an item.", zap.String("key", it.Key), zap.Error(err))
+		}
+	}
+	if len(out.Adopted) > 0 {
+		s.options.Adopt(update)
+	}
+	for _, m := range out.Messages {
+		if err := stream.Send(m); err != nil {
+			return err
 		}
-		o.Adopt(update)
-		adopted = true
 	}
+	return nil
 }
 
 // Jitter draws a delay between half of d and d.
