Decisions of balancers and agents about flows

Balancers place a packet by the newest view and name the picks of earlier ones. An agent takes a flow only as the home of a ballot, the version of the view that places the flow on it, after the homes of earlier ballots have promised not to. Two earlier forms of the protocol, with denials and pointers in place of promises, placed a flow twice: two agents denied each other at once, and a denial passed on along a pointer bound nobody.

--- /dev/null
+++ b/core/flow/flow_test.go
@@ -0,0 +1,261 @@
+package flow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fulmarmount.org/core/view"
+)
+
+// hosts returns a view with n ready hosts.
+func hosts(n int, version uint64) *view.View {
+	members := make([]view.BackendServer, n)
+	for i := range members {
+		members[i] = memberOf(i, view.FullWeight)
+		members[i].ID = fmt.Sprintf("host-%04d", i)
+	}
+	return view.New(1, view.Version{Epoch: 1, Number: version}, members)
+}
+
+func agentOn(v *view.View, i int) *Agent {
+	a := NewAgent(AgentOptions{Self: PeerOf(v, i)})
+	a.SetService(v.Service, view.Version{}, []netip.AddrPort{serviceAddr})
+	a.SetView(0, v)
+	return a
+}
+
+func balancerOn(views ...*view.View) *Balancer {
+	b := NewBalancer(time.Second)
+	b.SetBindings(view.Version{Number: 1}, []Binding{{serviceAddr, 1}})
+	for _, v := range views {
+		b.SetView(0, v)
+	}
+	return b
+}
+
+func TestForward(t *testing.T) {
+	is := is.New(t)
+	before, after := hosts(7, 1), hosts(8, 2)
+	b, fresh := balancerOn(before, after), balancerOn(after)
+	is.True(!b.SetView(0, before)) // older
+	moved := 0
+	for i := range 1000 {
+		d, err := b.Forward(tupleOf(i))
+		is.NoErr(err)
+		f, err := fresh.Forward(tupleOf(i))
+		is.NoErr(err)
+		is.Equal(d.Target, f.Target) // the pick depends on the view alone
+		if !d.Priors[0].IsZero() {
+			moved++
+			is.Equal(d.Target.Seed, after.Seed(7)) // only to the host that joined
+		}
+	}
+	is.True(moved > 75 && moved < 175) // an eighth, within five standard deviations
+	b.Tick(2 * time.Second)
+	d, err := b.Forward(tupleOf(1))
+	is.NoErr(err)
+	is.Equal(d.Priors, Priors{})
+}
+
+func TestForwardDrops(t *testing.T) {
+	is := is.New(t)
+	empty := view.New(1, view.Version{Number: 1}, nil)
+	elsewhere := Tuple{Caller: tupleOf(1).Caller, Service: netip.MustParseAddrPort("127.1.0.2:443")}
+	for _, c := range []struct {
+		b      *Balancer
+		tuple  Tuple
+		err    error
+		reason Reason
+	}{
+		{balancerOn(), tupleOf(1), ErrNoView, NoView},
+		{balancerOn(empty), tupleOf(1), ErrNoTarget, NoTarget},
+		{balancerOn(hosts(7, 1)), elsewhere, ErrUnknownAddress, UnknownAddress},
+	} {
+		_, err := c.b.Forward(c.tuple)
+		is.Equal(err, c.err)
+		is.Equal(c.b.Drops()[c.reason], uint64(1))
+	}
+}
+
+// TestReassignedAddress covers every pair of processes of which one knows that
+// an address has moved to another service.
+func TestReassignedAddress(t *testing.T) {
+	is := is.New(t)
+	v := hosts(1, 1)
+	b, a := balancerOn(v), agentOn(v, 0)
+	d, err := b.Forward(tupleOf(1))
+	is.NoErr(err)
+	p := d.Packet(tupleOf(1))
+	is.Equal(a.Receive(0, &p).Verdict, Deliver)
+
+	is.True(a.SetService(1, view.Version{Number: 2}, nil)) // the agent knows, the balancer does not
+	p = d.Packet(tupleOf(1))
+	is.Equal(a.Receive(0, &p).Reason, WrongAddress) // even the flow it owned
+	is.True(!a.SetService(1, view.Version{Number: 1}, []netip.AddrPort{serviceAddr}))
+
+	is.True(b.SetBindings(view.Version{Number: 2}, []Binding{{serviceAddr, 2}})) // the balancer knows
+	is.True(!b.SetBindings(view.Version{Number: 1}, []Binding{{serviceAddr, 1}}))
+	_, err = b.Forward(tupleOf(1))
+	is.Equal(err, ErrNoView)
+}
+
+func TestRefusals(t *testing.T) {
+	v := hosts(1, 1)
+	d, _ := balancerOn(v).Forward(tupleOf(1))
+	cases := []struct {
+		name   string
+		change func(*Packet)
+		want   Reason
+	}{
+		{"another service", func(p *Packet) { p.Service = 2 }, WrongService},
+		{"an earlier run", func(p *Packet) { p.Target-- }, WrongIncarnation},
+		{"a later run", func(p *Packet) { p.Target++ }, WrongIncarnation},
+		{"another address", func(p *Packet) { p.Tuple.Service = netip.MustParseAddrPort("127.1.0.2:443") }, WrongAddress},
+		{"too many hops", func(p *Packet) { p.Hops = 17 }, HopLimit},
+		{"kind out of range", func(p *Packet) { p.Kind = kinds }, Malformed},
+		{"too many denials", func(p *Packet) { p.Denials = MaxDenied + 1 }, Malformed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			a := agentOn(v, 0)
+			p := d.Packet(tupleOf(1))
+			c.change(&p)
+			is.Equal(a.Receive(0, &p), Action{Verdict: Refuse, Reason: c.want})
+			is.Equal(a.Stats().Refused[c.want], uint64(1))
+			is.Equal(a.Flows(), 0)
+		})
+	}
+	is.New(t).Equal(NewAgent(AgentOptions{}).Receive(0, &Packet{}).Reason, WrongService) // no service known yet
+}
+
+func TestDrainingTakesNothingNew(t *testing.T) {
+	is := is.New(t)
+	before, after := hosts(2, 1), hosts(2, 2)
+	after.Members[0].State, after.Members[0].Weight = view.Draining, 0
+	after.Prepare()
+	a := agentOn(before, 0)
+	known := Packet{Service: 1, Target: 1, Ballot: Ballot{Version: before.Version}, Informed: true, Tuple: tupleOf(1)}
+	first := known
+	is.True(a.Receive(0, &first).Opened)
+	a.SetView(0, after)
+	is.Equal(a.Receive(0, &known).Verdict, Deliver) // keeps what it owns
+	fresh := Packet{Service: 1, Target: 1, Ballot: Ballot{Version: before.Version}, Informed: true, Tuple: tupleOf(2)}
+	action := a.Receive(0, &fresh)
+	is.Equal(action.Verdict, Relay)
+	is.Equal(action.To, PeerOf(after, 1))
+	all := hosts(2, 3)
+	for i := range all.Members {
+		all.Members[i].State = view.Draining
+	}
+	all.Prepare()
+	a.SetView(0, all)
+	fresh = Packet{Service: 1, Target: 1, Ballot: Ballot{Version: all.Version}, Informed: true, Tuple: tupleOf(3)}
+	is.Equal(a.Receive(0, &fresh).Reason, NoTarget)
+	_, err := balancerOn(all).Forward(tupleOf(1))
+	is.NoErr(err) // flows of draining hosts are still forwarded
+}
+
+func TestSilentAgentIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	v := hosts(2, 1)
+	a := agentOn(v, 0)
+	receive := func(now time.Duration, i int) Verdict {
+		p := Packet{Service: 1, Target: 1, Ballot: Ballot{Version: v.Version}, Informed: true, Tuple: tupleOf(i), Priors: Priors{PeerOf(v, 1)}}
+		return a.Receive(now, &p).Verdict
+	}
+	for i := range 4 {
+		is.Equal(receive(time.Duration(i)*400*time.Millisecond, i), Relay)
+	}
+	is.Equal(receive(1300*time.Millisecond, 5), Deliver)
+	is.Equal(receive(3*time.Second, 6), Relay) // asked again after a while
+	a.Heard(PeerOf(v, 1))
+	is.Equal(receive(3100*time.Millisecond, 7), Relay)
+}
+
+func TestIdleFlowsEnd(t *testing.T) {
+	is := is.New(t)
+	v := hosts(1, 1)
+	a := agentOn(v, 0)
+	for i := range 100 {
+		p := Packet{Service: 1, Target: 1, Ballot: Ballot{Version: v.Version}, Informed: true, Tuple: tupleOf(i)}
+		a.Receive(0, &p)
+	}
+	a.Learn(0, Peer{Seed: 9, Incarnation: 1}, Peer{Seed: 9, Incarnation: 1}, []ID{tupleOf(1000).ID()})
+	a.Touch(4*time.Minute, tupleOf(7).ID())
+	sweep := func(now time.Duration) (ended int) {
+		for turn := range shardCount {
+			ended += len(a.Sweep(now, turn))
+		}
+		return ended
+	}
+	is.Equal(sweep(5*time.Minute), 0)
+	is.Equal(sweep(6*time.Minute), 99)
+	is.True(a.Owns(tupleOf(7).ID()))
+	is.Equal(a.Flows(), 1)
+	is.Equal(a.Holdings()[1].Flows, 1) // pointers live longer
+	a.End(tupleOf(7).ID())
+	is.Equal(sweep(time.Hour), 0)
+	is.Equal(len(a.Holdings()), 1)
+}
+
+func TestTableAgainstMap(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(3, 3))
+	var table table
+	naive := map[ID]uint32{}
+	for range 200_000 {
+		id := ID{Key: uint64(rng.IntN(500)) << 55, Check: uint64(rng.IntN(4))} // clustered keys
+		switch rng.IntN(3) {
+		case 0:
+			table.remove(id)
+			delete(naive, id)
+		case 1:
+			seen := rng.Uint32()
+			table.insert(id).seen = seen
+			naive[id] = seen
+		default:
+			e := table.find(id)
+			seen, ok := naive[id]
+			is.Equal(e != nil, ok)
+			is.True(e == nil || e.seen == seen)
+		}
+		is.Equal(table.count, len(naive))
+		if rng.IntN(1000) == 0 {
+			table.compact()
+		}
+	}
+}
+
+func TestStateBytesPerFlow(t *testing.T) {
+	is := is.New(t)
+	v := hosts(1, 1)
+	a := agentOn(v, 0)
+	worst := 0.0
+	for n := 1; n <= 300_000; n++ {
+		p := Packet{Service: 1, Target: 1, Ballot: Ballot{Version: v.Version}, Informed: true, Tuple: tupleOf(n)}
+		a.Receive(0, &p)
+		if n >= 100_000 && n%20_000 == 0 {
+			worst = max(worst, float64(a.TableBytes())/float64(n))
+		}
+	}
+	t.Logf("%.1f bytes a flow at most between 100,000 and 300,000 flows", worst)
+	is.True(worst <= 64)
+}
+
+func TestNoAllocations(t *testing.T) {
+	is := is.New(t)
+	v := hosts(7, 1)
+	b, a := balancerOn(v), agentOn(v, 0)
+	i := 0
+	p := Packet{Service: 1, Target: 1, Ballot: Ballot{Version: v.Version}, Informed: true, Tuple: tupleOf(1)}
+	first := p
+	a.Receive(0, &p)
+	is.Equal(testing.AllocsPerRun(1000, func() { i++; _, _ = b.Forward(tupleOf(i)) }), 0.0)
+	is.Equal(testing.AllocsPerRun(1000, func() { p = first; a.Receive(0, &p) }), 0.0)
+}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -114,6 +114,7 @@
 	seeds   []uint64
 	targets []Target
 	past    [][]Target
+	resting bool
 }
 
 // Past is the placement weights of an earlier version of a view.
@@ -153,6 +154,7 @@
 		weights[i] = v.Members[i].PlacementWeight()
 	}
 	v.targets = v.targetsOf(weights)
+	v.rest()
 	v.past = make([][]Target, len(v.Earlier))
 	for i := range v.Earlier {
 		v.past[i] = v.targetsOf(v.Earlier[i].Weights)
@@ -169,7 +171,24 @@
 	return targets
 }
 
-// Targets returns the members that take new flows. Treat it as read-only.
+// rest makes draining members the targets where no member takes new flows, so
+// that packets of the flows they keep still find their way.
+func (v *View) rest() {
+	if v.resting = len(v.targets) == 0; !v.resting {
+		return
+	}
+	for i := range v.Members {
+		if v.Members[i].State == Draining {
+			v.targets = append(v.targets, Target{Seed: v.seeds[i], Weight: FullWeight, Index: int32(i)})
+		}
+	}
+}
+
+// Resting reports whether no member takes new flows. Targets then lists the
+// draining members, which keep their flows.
+func (v *View) Resting() bool { return v.resting }
+
+// Targets returns the members that flows are placed on. Treat it as read-only.
 func (v *View) Targets() []Target { return v.targets }
 
 // PastTargets returns the members that took new flows under Earlier[i].
