--- a/daemon/internal/peer/client.go
+++ b/daemon/internal/peer/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/quic-go/quic-go"
 )
@@ -13,10 +14,11 @@
 // that has gone silent is replaced by one from a new port before an error is
 // reported. It is safe for concurrent use.
 type Pool struct {
-	tls    func() *tls.Config
-	mu     sync.Mutex
-	conns  map[netip.AddrPort]*slot
-	closed bool
+	tls     func() *tls.Config
+	silence time.Duration
+	mu      sync.Mutex
+	conns   map[netip.AddrPort]*slot
+	closed  bool
 }
 
 // slot serialises the dialling of one peer.
@@ -31,6 +33,10 @@
 	return &Pool{tls: config, conns: make(map[netip.AddrPort]*slot)}
 }
 
+// SetSilence sets how long nothing may arrive before a connection is given up.
+// Call it before the first connection.
+func (p *Pool) SetSilence(d time.Duration) { p.silence = d }
+
 // Open opens a stream of the given kind.
 func (p *Pool) Open(ctx context.Context, addr netip.AddrPort, kind string) (*Stream, error) {
 	return p.open(ctx, addr, kind, false)
@@ -71,7 +77,7 @@
 	if s.conn != nil && !fresh && s.conn.Context().Err() == nil {
 		return s.conn, true, nil
 	}
-	conn, err := quic.DialAddr(ctx, addr.String(), p.tls(), transport())
+	conn, err := quic.DialAddr(ctx, addr.String(), p.tls(), transport(p.silence))
 	if err != nil {
 		return nil, false, DialFailed.Wrap(err, "connect to %s", addr)
 	}
--- a/daemon/internal/peer/server.go
+++ b/daemon/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
@@ -24,6 +25,9 @@
 	TLS *tls.Config
 	// Handlers by stream kind; a stream of another kind is refused.
 	Handlers map[string]Handler
+	// Silence is how long nothing may arrive before a connection is given up;
+	// zero stands for 4 s.
+	Silence time.Duration
 	// Log receives one line per refused stream.
 	Log *zap.Logger
 }
@@ -33,18 +37,18 @@
 	options  ServerOptions
 	listener *quic.Listener
 	cancel   context.CancelFunc
-	streams  sync.WaitGroup
+	tasks    sync.WaitGroup
 }
 
 // Listen opens the socket and starts to accept.
 func Listen(o ServerOptions) (*Server, error) {
-	listener, err := quic.ListenAddr(o.Addr.String(), o.TLS, transport())
+	listener, err := quic.ListenAddr(o.Addr.String(), o.TLS, transport(o.Silence))
 	if err != nil {
 		return nil, ListenFailed.Wrap(err, "listen on %s", o.Addr)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{options: o, listener: listener, cancel: cancel}
-	go s.accept(ctx)
+	s.tasks.Go(func() { s.accept(ctx) })
 	return s, nil
 }
 
@@ -57,7 +61,7 @@
 func (s *Server) Close() error {
 	s.cancel()
 	err := s.listener.Close()
-	s.streams.Wait()
+	s.tasks.Wait()
 	return err
 }
 
@@ -67,7 +71,7 @@
 		if err != nil {
 			return
 		}
-		go s.serve(ctx, conn)
+		s.tasks.Go(func() { s.serve(ctx, conn) })
 	}
 }
 
@@ -86,11 +90,7 @@
 		if err != nil {
 			return
 		}
-		s.streams.Add(1)
-		go func() {
-			defer s.streams.Done()
-			s.handle(conn.Context(), from, &Stream{Stream: stream})
-		}()
+		s.tasks.Go(func() { s.handle(conn.Context(), from, &Stream{Stream: stream}) })
 	}
 }
 
--- a/daemon/internal/peer/stream.go
+++ b/daemon/internal/peer/stream.go
@@ -109,20 +109,26 @@
 	refusedCode quic.StreamErrorCode      = 2
 	closedCode  quic.ApplicationErrorCode = 0
 
-	// heartbeat is the interval of keep-alive frames on an idle connection.
-	heartbeat = 1 * time.Second
-	// silence is how long nothing may arrive before a connection is given up.
-	silence = 4 * time.Second
+	// defaultSilence is how long nothing may arrive before a connection is
+	// given up.
+	defaultSilence = 4 * time.Second
+	// heartbeats is how many keep-alive frames an idle connection sends within
+	// the time of silence.
+	heartbeats = 4
 	// handshakeLimit bounds the making of a connection.
 	handshakeLimit = 3 * time.Second
 	// maxStreams bounds the streams a peer may hold open on one connection.
 	maxStreams = 1 << 14
 )
 
-// transport returns the QUIC settings of both ends.
-func transport() *quic.Config {
+// transport returns the QUIC settings of both ends. A silence of zero stands
+// for the default.
+func transport(silence time.Duration) *quic.Config {
+	if silence == 0 {
+		silence = defaultSilence
+	}
 	return &quic.Config{
-		KeepAlivePeriod:      heartbeat,
+		KeepAlivePeriod:      silence / heartbeats,
 		MaxIdleTimeout:       silence,
 		HandshakeIdleTimeout: handshakeLimit,
 		MaxIncomingStreams:   maxStreams,
