--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -26,7 +26,7 @@
 func newEntryLog(snapshot Snapshot, entries []Entry) (*entryLog, error) {
 	l := &entryLog{}
 	l.reset(snapshot)
-	if !continues(entries, snapshot) {
+	if !LogContinues(entries, snapshot) {
 		return l, nil
 	}
 	first := entries[0]
@@ -52,9 +52,9 @@
 	return l, nil
 }
 
-// continues reports whether entries reach the snapshot and agree with it. If
+// LogContinues reports whether entries reach snapshot and agree with it. If
 // not, the snapshot came from a leader and replaces them (paper, section 7).
-func continues(entries []Entry, snapshot Snapshot) bool {
+func LogContinues(entries []Entry, snapshot Snapshot) bool {
 	if len(entries) == 0 || entries[len(entries)-1].Index < snapshot.Index {
 		return false
 	}
