--- /dev/null
+++ b/daemon/internal/disk/memfolder_test.go
@@ -0,0 +1,125 @@
+package disk
+
+import (
+	"errors"
+	"maps"
+	"os"
+	"slices"
+)
+
+var errInjected = errors.New("injected")
+
+// inode is the content of a fake file and the part of it that was synced.
+type inode struct{ data, synced []byte }
+
+// memFolder is a folder that fails from its failAt-th operation on, and loses
+// on crash what was not synced.
+type memFolder struct {
+	names, durable map[string]*inode
+	operations     int
+	failAt         int // 0 never fails
+	failOnce       bool
+}
+
+func newMemFolder() *memFolder {
+	return &memFolder{names: map[string]*inode{}, durable: map[string]*inode{}}
+}
+
+func (d *memFolder) operate() error {
+	d.operations++
+	if d.failAt > 0 && (d.operations == d.failAt || d.operations > d.failAt && !d.failOnce) {
+		return errInjected
+	}
+	return nil
+}
+
+// crash returns the folder as the next start finds it: of unsynced data the
+// first tail bytes arrived.
+func (d *memFolder) crash(tail int) *memFolder {
+	next := newMemFolder()
+	for name, i := range d.durable {
+		kept := slices.Clone(i.synced)
+		if len(i.data) > len(kept) {
+			kept = append(kept, i.data[len(kept):min(len(i.data), len(kept)+tail)]...)
+		}
+		next.names[name] = &inode{data: kept, synced: slices.Clone(kept)}
+	}
+	next.durable = maps.Clone(next.names)
+	return next
+}
+
+func (d *memFolder) List() ([]string, error) {
+	return slices.Sorted(maps.Keys(d.names)), d.operate()
+}
+
+func (d *memFolder) Read(name string) ([]byte, error) {
+	i, ok := d.names[name]
+	if !ok {
+		return nil, os.ErrNotExist
+	}
+	return slices.Clone(i.data), d.operate()
+}
+
+func (d *memFolder) Create(name string) (file, error) {
+	d.names[name] = &inode{}
+	return &memFile{d, d.names[name]}, d.operate()
+}
+
+func (d *memFolder) Append(name string) (file, error) {
+	i, ok := d.names[name]
+	if !ok {
+		return nil, os.ErrNotExist
+	}
+	return &memFile{d, i}, d.operate()
+}
+
+func (d *memFolder) Rename(from, to string) error {
+	if err := d.operate(); err != nil {
+		return err
+	}
+	d.names[to] = d.names[from]
+	delete(d.names, from)
+	return nil
+}
+
+func (d *memFolder) Remove(name string) error {
+	delete(d.names, name)
+	return d.operate()
+}
+
+func (d *memFolder) Sync() error {
+	if err := d.operate(); err != nil {
+		return err
+	}
+	d.durable = maps.Clone(d.names)
+	return nil
+}
+
+type memFile struct {
+	folder *memFolder
+	inode  *inode
+}
+
+func (f *memFile) Write(b []byte) (int, error) {
+	if err := f.folder.operate(); err != nil {
+		f.inode.data = append(f.inode.data, b[:len(b)/2]...) // a full disk takes a part
+		return len(b) / 2, err
+	}
+	f.inode.data = append(f.inode.data, b...)
+	return len(b), nil
+}
+
+func (f *memFile) Sync() error {
+	if err := f.folder.operate(); err != nil {
+		return err
+	}
+	f.inode.synced = slices.Clone(f.inode.data)
+	return nil
+}
+
+func (f *memFile) Truncate(size int64) error {
+	f.inode.data = f.inode.data[:size]
+	return f.folder.operate()
+}
+
+func (f *memFile) Close() error { return nil }
