--- a/core/quorum/ready.go
+++ b/core/quorum/ready.go
@@ -131,6 +131,9 @@
 	Progress   []Progress // leader only
 }
 
+// Membership returns the membership in force.
+func (r *Replica) Membership() Membership { return r.log.membership() }
+
 // Status returns a copy of the replica's state.
 func (r *Replica) Status() Status {
 	s := Status{
--- a/daemon/internal/disk/store.go
+++ b/daemon/internal/disk/store.go
@@ -120,12 +120,7 @@
 	if err := s.writeSnapshot(snapshot); err != nil {
 		return s.fail(err, "snapshot %d", snapshot.Index)
 	}
-	entries := s.state.Entries
-	drop := 0
-	for drop < len(entries) && entries[drop].Index < first {
-		drop++
-	}
-	s.state.Entries = slices.Clone(entries[drop:])
+	s.state.Entries = dropBefore(s.state.Entries, first)
 	return s.rewrite()
 }
 
