Hand a balancer's sockets and state to its successor

Cause: a balancer's planned restart lost the datagrams in its queues, cut its connections, and the new process served nothing until control answered. Change: a balancer pauses, hands over its service and envelope sockets, the services and views in force and the replay windows; the successor goes on with them and retires what control no longer lists.

--- a/daemon/internal/node/node.go
+++ b/daemon/internal/node/node.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
+	"fulmarmount.org/daemon/internal/handover"
 	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/proto"
 	"fulmarmount.org/daemon/internal/settings"
@@ -25,6 +26,8 @@
 	// Spray is the number of balancers on this host that share the service
 	// addresses packet by packet; 0 where the fabric does that.
 	Spray int
+	// Inherited is what a predecessor on the same VM has handed over.
+	Inherited handover.Bundle
 	// Services are the services of a control role that starts without state.
 	Services []proto.Service
 	// Ready is called once every role has started; nil where nobody waits.
--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"fulmarmount.org/daemon/internal/handover"
 	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/proto"
 	"fulmarmount.org/daemon/internal/role/agent"
@@ -68,12 +70,17 @@
 	return Options{Settings: &s, Identity: identity, Ring: f.set.Ring, Spray: 2, Now: time.Now, Log: zap.NewNop()}
 }
 
-func (f *fleet) balancer(name string) *balancer.Balancer {
-	running, err := startBalancer(f.options(name, settings.Process{Balancer: settings.Balancer{
+func (f *fleet) balancer(name string) *balancer.Balancer { return f.successor(name, nil) }
+
+// successor starts a balancer that takes over from another; nil stands for none.
+func (f *fleet) successor(name string, inherited handover.Bundle) *balancer.Balancer {
+	o := f.options(name, settings.Process{Balancer: settings.Balancer{
 		Packets: netip.MustParseAddrPort("127.0.0.1:0"),
 		MTU:     1500,
 		Bind:    f.bind,
-	}}))
+	}})
+	o.Inherited = inherited
+	running, err := startBalancer(o)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -305,6 +312,69 @@
 	t.Fatal("a stopping agent still takes new work")
 }
 
+func TestBalancerRestartLosesNoDatagramAndNoConnection(t *testing.T) {
+	is := is.New(t)
+	desk, err := standin.StartOrderDesk(standin.OrderDeskOptions{Name: "desk"})
+	is.NoErr(err)
+	defer desk.Close()
+	echo, err := standin.StartEcho(standin.EchoOptions{Name: "bench"})
+	is.NoErr(err)
+	defer echo.Close()
+	f := newFleet(t,
+		proto.Service{ID: 1, Name: "desk", Mode: proto.ModeStream, Addresses: []netip.AddrPort{deskAddr}},
+		proto.Service{ID: 2, Name: "floor", Mode: proto.ModePacket, Addresses: []netip.AddrPort{floorAddr}})
+	a := f.agent("desk", desk.Addr())
+	f.agent("floor", echo.Addr())
+	first := f.balancer("balancer-1")
+	waitForMembers(t, first, first, 1)
+	settle(t, floorAddr)
+
+	// A request is in flight and a session has datagrams on the way.
+	desk.SetMode(standin.ModeStallAfter)
+	answer := make(chan error, 1)
+	go func() { answer <- amend("http://" + deskAddr.String() + "/amendments") }()
+	for a.Counters().(agent.Counters).Tunnels == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	session, err := standin.StartSession(standin.SessionOptions{ID: 7, Targets: []netip.AddrPort{floorAddr}})
+	is.NoErr(err)
+	defer session.Close()
+	const waiting = 16
+	for range waiting {
+		_, err := session.Send()
+		is.NoErr(err)
+	}
+
+	// Control is gone, so the successor has only what it takes over.
+	is.NoErr(f.control.Close())
+	path := filepath.Join(t.TempDir(), "handover")
+	server, err := handover.Listen(path, first, zap.NewNop())
+	is.NoErr(err)
+	defer server.Close()
+	bundle, err := handover.Take(path)
+	is.NoErr(err)
+	second := f.successor("balancer-1", bundle)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for range waiting {
+		is.NoErr(session.Receive(ctx))
+	}
+	for range waiting {
+		is.NoErr(session.Exchange(ctx))
+	}
+	is.True(session.Report().Whole())
+	is.True(second.Stats().Forwarded.Load() >= waiting)
+
+	// The connection that the predecessor still holds ends whole; a new one
+	// goes to the successor.
+	desk.SetMode(standin.ModeServe)
+	is.NoErr(<-answer)
+	is.NoErr(first.Stop(ctx))
+	response, err := http.Get("http://" + deskAddr.String() + "/")
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+}
+
 // expired returns a context that has ended, for stops that wait for nothing.
 func expired() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/internal/node/roles.go
+++ b/daemon/internal/node/roles.go
@@ -68,6 +68,7 @@
 		Packets:    s.Packets,
 		Spray:      o.Spray,
 		Wildcard:   s.Bind == settings.BindWildcard,
+		Inherited:  o.Inherited.Select(balancer.HandoverRole, o.Settings.Name),
 		MTU:        s.MTU,
 		ReadBuffer: s.ReceiveBuffer,
 		TLS:        o.clientTLS(keys.Control, keys.Agent),
--- a/daemon/internal/packet/packet_test.go
+++ b/daemon/internal/packet/packet_test.go
@@ -118,6 +118,28 @@
 	}
 }
 
+func TestSuccessorRefusesWhatItsPredecessorReceived(t *testing.T) {
+	is := is.New(t)
+	keys := newRing()
+	s, before, h := NewSealer(keys, 42), NewOpener(keys, still), header()
+	var sealed [][]byte
+	for range 3 {
+		b, err := s.Seal(nil, &h, nil)
+		is.NoErr(err)
+		sealed = append(sealed, b)
+	}
+	for _, i := range []int{0, 2} {
+		_, err := before.Open(sealed[i], &h)
+		is.NoErr(err)
+	}
+	after := NewOpener(keys, still)
+	is.NoErr(after.Import(append(before.Export(), Session{Session: 1, Key: 9})))
+	for i, want := range []error{ErrReplayed, nil, ErrReplayed} {
+		_, err := after.Open(sealed[i], &h)
+		is.Equal(err, want)
+	}
+}
+
 func TestRotationKeepsOldEnvelopesUntilTheKeyLeaves(t *testing.T) {
 	is := is.New(t)
 	keys := newRing()
--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -13,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/handover"
 	"fulmarmount.org/daemon/internal/packet"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
@@ -38,6 +41,8 @@
 	MTU int
 	// ReadBuffer is the kernel's receive buffer of each socket in bytes.
 	ReadBuffer int
+	// Inherited is what a predecessor on the same VM has handed over.
+	Inherited handover.Bundle
 	// TLS returns the settings of a connection to control or an agent.
 	TLS func() *tls.Config
 	// Keys seal the envelopes.
@@ -64,12 +69,18 @@
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 
+	// readers counts the goroutines that read datagrams or accept connections.
+	readers sync.WaitGroup
 	// streams counts the connections that are open.
 	streams sync.WaitGroup
+	// inherited are the services of a predecessor until control's first update;
+	// only the subscription's goroutine uses it after the start.
+	inherited []proto.Service
 
 	mu        sync.Mutex
 	listeners map[listenKey]listener
 	stopping  bool
+	paused    bool
 }
 
 // listenKey names a listener of a service address.
@@ -78,12 +89,15 @@
 	addr netip.AddrPort
 }
 
-// listener is a socket on a service address.
-type listener interface{ Close() error }
+// listener is a socket on a service address: a *udp.Conn or a *net.TCPListener.
+type listener interface {
+	handover.Socket
+	deadliner
+}
 
 // Start opens the envelope socket and follows control until Close.
 func Start(o Options) (*Balancer, error) {
-	envelopes, err := udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: o.ReadBuffer})
+	envelopes, err := openEnvelopes(o)
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +112,8 @@
 		cancel:    cancel,
 		listeners: make(map[listenKey]listener),
 	}
-	b.tasks.Go(b.readEnvelopes)
+	b.inherit(o.Inherited)
+	b.run()
 	b.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
 			Name:    o.Name,
@@ -112,6 +127,16 @@
 	return b, nil
 }
 
+// openEnvelopes returns the predecessor's envelope socket, or a new one.
+func openEnvelopes(o Options) (*udp.Conn, error) {
+	for _, item := range o.Inherited {
+		if conn, ok := item.Socket.(*net.UDPConn); ok && item.Kind == itemEnvelopes {
+			return udp.Inherit(conn)
+		}
+	}
+	return udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: o.ReadBuffer})
+}
+
 // Stop takes no new connections, waits until those that are open have ended or
 // ctx ends, and closes every socket.
 func (b *Balancer) Stop(ctx context.Context) error {
@@ -153,12 +178,17 @@
 	b.closeListeners(proto.ModePacket)
 	err := b.envelopes.Close()
 	b.pool.Close()
+	b.readers.Wait()
 	b.tasks.Wait()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
 	return err
 }
 
 // adopt puts an update in force.
 func (b *Balancer) adopt(u proto.Update) {
+	b.retire(&u)
 	services := b.table.adopt(u)
 	if len(u.Services) > 0 || len(u.Removed) > 0 {
 		b.reconcile(services)
@@ -175,7 +205,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stopping {
+	if b.stopping || b.paused {
 		return
 	}
 	for key, l := range b.listeners {
@@ -194,6 +224,23 @@
 			continue
 		}
 		b.listeners[key] = l
+		b.serve(key, l)
+	}
+}
+
+// serve reads from a listener unless the balancer is paused. The caller holds
+// the lock.
+func (b *Balancer) serve(key listenKey, l listener) {
+	if b.paused {
+		return
+	}
+	switch l := l.(type) {
+	case *udp.Conn:
+		b.readers.Go(func() { b.readCallers(l) })
+	case *net.TCPListener:
+		b.readers.Go(func() { b.acceptStreams(l) })
+	default:
+		b.options.Log.Error("Cannot serve an address.", zap.Stringer("address", key.addr))
 	}
 }
 
--- a/daemon/internal/role/balancer/packets.go
+++ b/daemon/internal/role/balancer/packets.go
@@ -20,19 +20,14 @@
 	Failed    atomic.Uint64 // the socket did not take the packet
 }
 
-// listenPacket serves datagrams on one service address.
-func (b *Balancer) listenPacket(addr netip.AddrPort) (listener, error) {
-	conn, err := udp.Listen(udp.Options{
+// listenPacket opens the socket for datagrams on one service address.
+func (b *Balancer) listenPacket(addr netip.AddrPort) (*udp.Conn, error) {
+	return udp.Listen(udp.Options{
 		Addr:       addr,
 		ReusePort:  b.options.Spray > 0,
 		Spray:      b.options.Spray,
 		ReadBuffer: b.options.ReadBuffer,
 	})
-	if err != nil {
-		return nil, err
-	}
-	b.tasks.Go(func() { b.readCallers(conn) })
-	return conn, nil
 }
 
 // readCallers forwards the datagrams of one service address.
--- a/daemon/internal/role/balancer/streams.go
+++ b/daemon/internal/role/balancer/streams.go
@@ -18,9 +18,9 @@
 // tunnelLimit bounds the opening of a tunnel to a backend server.
 const tunnelLimit = 3 * time.Second
 
-// listenStream serves TCP connections on one service address. A connection
-// lives on this balancer: it ends with it.
-func (b *Balancer) listenStream(addr netip.AddrPort) (listener, error) {
+// listenStream opens the listener for TCP connections on one service address.
+// A connection lives on this balancer: it ends with it.
+func (b *Balancer) listenStream(addr netip.AddrPort) (*net.TCPListener, error) {
 	config := &net.ListenConfig{}
 	if b.options.Spray > 0 {
 		config = udp.ReusePort()
@@ -29,8 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b.tasks.Go(func() { b.acceptStreams(l.(*net.TCPListener)) })
-	return l, nil
+	return l.(*net.TCPListener), nil
 }
 
 func (b *Balancer) acceptStreams(l *net.TCPListener) {
--- a/daemon/internal/role/balancer/table.go
+++ b/daemon/internal/role/balancer/table.go
@@ -125,3 +125,13 @@
 	}
 	return n
 }
+
+// update returns what is in force, for a successor to adopt.
+func (t *table) update() proto.Update {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return proto.Update{
+		Services: slices.Collect(maps.Values(t.services)),
+		Views:    slices.Collect(maps.Values(t.views)),
+	}
+}
--- a/daemon/internal/udp/udp.go
+++ b/daemon/internal/udp/udp.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"syscall"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/net/ipv4"
@@ -62,9 +63,30 @@
 		// The kernel caps the buffer at its own limit, which is not an error.
 		_ = conn.SetReadBuffer(o.ReadBuffer)
 	}
-	return &Conn{conn: conn, local: conn.LocalAddr().(*net.UDPAddr).AddrPort()}, nil
+	return Inherit(conn)
 }
 
+// Inherit makes a Conn of a socket that another process has opened by Listen
+// and passed on.
+func Inherit(conn *net.UDPConn) (*Conn, error) {
+	local, ok := conn.LocalAddr().(*net.UDPAddr)
+	if !ok {
+		return nil, ListenFailed.New("inherited socket has the address %v", conn.LocalAddr())
+	}
+	return &Conn{conn: conn, local: unmap(local.AddrPort())}, nil
+}
+
+// unmap returns an IPv4 address in its short form.
+func unmap(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// SyscallConn gives access to the socket's descriptor.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.conn.SyscallConn() }
+
+// SetDeadline ends blocked reads at a time; the zero time removes the limit.
+func (c *Conn) SetDeadline(t time.Time) error { return c.conn.SetReadDeadline(t) }
+
 // Addr returns the bound address.
 func (c *Conn) Addr() netip.AddrPort { return c.local }
 
@@ -82,7 +104,7 @@
 	if ip, ok := destination(oob[:oobn]); ok {
 		to = netip.AddrPortFrom(ip, c.local.Port())
 	}
-	return n, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), to, nil
+	return n, unmap(from), to, nil
 }
 
 // Write sends b to an address, from the socket's own address.
