--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -126,12 +127,21 @@
 	t.Fatalf("no message to %s was answered", target)
 }
 
+// The service addresses. Balancers share ports with SO_REUSEPORT, so test runs
+// side by side need addresses of their own.
 var (
-	floorAddr     = netip.MustParseAddrPort("127.0.40.1:4000")
-	deskAddr      = netip.MustParseAddrPort("127.0.40.2:4000")
-	catalogueAddr = netip.MustParseAddrPort("127.0.40.3:4000")
+	floorAddr     = serviceAddr(4001)
+	deskAddr      = serviceAddr(4002)
+	catalogueAddr = serviceAddr(4003)
 )
 
+// serviceAddr returns a loopback address that no other process uses.
+func serviceAddr(port uint16) netip.AddrPort {
+	pid := os.Getpid()
+	ip := netip.AddrFrom4([4]byte{127, 64 | byte(pid>>16)&63, byte(pid >> 8), byte(pid)})
+	return netip.AddrPortFrom(ip, port)
+}
+
 func TestDatagramsOfOneFlowSprayedOverTwoBalancersReachOneServer(t *testing.T) {
 	for _, bind := range []settings.Bind{settings.BindAddresses, settings.BindWildcard} {
 		t.Run(string(bind), func(t *testing.T) { testSprayedFlows(t, bind) })
@@ -251,9 +261,7 @@
 			desk.SetMode(standin.ModeStallAfter)
 			answer := make(chan error, 1)
 			go func() { answer <- amend("http://" + deskAddr.String() + "/amendments") }()
-			for a.Counters().(agent.Counters).Tunnels == 0 {
-				time.Sleep(time.Millisecond)
-			}
+			waitForTunnel(t, a)
 
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
@@ -301,6 +309,17 @@
 	return nil
 }
 
+// waitForTunnel waits until an agent carries a connection.
+func waitForTunnel(t *testing.T, a *agent.Agent) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if a.Counters().(agent.Counters).Tunnels > 0 {
+			return
+		}
+	}
+	t.Fatal("no connection has reached the agent")
+}
+
 // waitForMembersDraining waits until no member takes new work.
 func waitForMembersDraining(t *testing.T, b *balancer.Balancer) {
 	t.Helper()
@@ -333,9 +352,7 @@
 	desk.SetMode(standin.ModeStallAfter)
 	answer := make(chan error, 1)
 	go func() { answer <- amend("http://" + deskAddr.String() + "/amendments") }()
-	for a.Counters().(agent.Counters).Tunnels == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	waitForTunnel(t, a)
 	session, err := standin.StartSession(standin.SessionOptions{ID: 7, Targets: []netip.AddrPort{floorAddr}})
 	is.NoErr(err)
 	defer session.Close()
