--- /dev/null
+++ b/core/lease/status.go
@@ -0,0 +1,83 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"fulmarmount.org/core/view"
+)
+
+// Status is what operators see of one backend server.
+type Status struct {
+	ID          string           `json:"id"`
+	Service     view.ServiceID   `json:"service"`
+	Zone        string           `json:"zone"`
+	Incarnation view.Incarnation `json:"incarnation"`
+	State       string           `json:"state"`
+	Weight      uint32           `json:"weight"`
+	// Flows is the number of flows the agent last said it owns.
+	Flows uint32 `json:"flows"`
+	// Load is the number of requests running or queued.
+	Load uint32 `json:"load"`
+	// Unheard is the time since the last announcement.
+	Unheard time.Duration `json:"unheard_ns"`
+	// Reasons tell why the member gets no new flows, or would get none if more
+	// of its service were in force.
+	Reasons []string `json:"reasons,omitempty"`
+}
+
+// Status returns the members of a service in the order of their IDs.
+func (r *Registry) Status(now time.Duration, id view.ServiceID) []Status {
+	s := r.services[id]
+	if s == nil {
+		return nil
+	}
+	out := make([]Status, 0, len(s.members))
+	for _, key := range slices.Sorted(maps.Keys(s.members)) {
+		m := s.members[key]
+		a := &m.announcement
+		out = append(out, Status{
+			ID: m.id, Service: id, Zone: a.Zone, Incarnation: a.Incarnation, State: m.state.String(), Weight: m.weight,
+			Flows: a.Flows, Load: a.Load, Unheard: now - m.heard, Reasons: r.reasons(now, m),
+		})
+	}
+	return out
+}
+
+func (r *Registry) reasons(now time.Duration, m *member) []string {
+	all := []struct {
+		holds bool
+		text  string
+	}{
+		{m.drained, "drained by an operator"},
+		{m.announcement.Draining, "asks to leave"},
+		{m.phase == view.Joining, "has not adopted a view yet"},
+		{m.replaced, "its address was taken by another backend server"},
+		{m.lapsed(now, &r.options), "lease ended"},
+		{!m.announcement.Healthy, "its agent finds it failing"},
+		{m.heldDown(now, &r.options), "held down for flapping"},
+	}
+	var out []string
+	for _, reason := range all {
+		if reason.holds {
+			out = append(out, reason.text)
+		}
+	}
+	return out
+}
+
+// Loads returns the flows owned by each member of a service that is heard.
+func (r *Registry) Loads(now time.Duration, id view.ServiceID) []view.Load {
+	s := r.services[id]
+	if s == nil {
+		return nil
+	}
+	out := make([]view.Load, 0, len(s.members))
+	for _, key := range slices.Sorted(maps.Keys(s.members)) {
+		if m := s.members[key]; !m.lapsed(now, &r.options) {
+			out = append(out, view.Load{Seed: view.SeedOf(key), Flows: m.announcement.Flows})
+		}
+	}
+	return out
+}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -92,6 +92,10 @@
 	return b.Weight > 0 && (b.State == Warming || b.State == Ready)
 }
 
+// Stays reports whether b has been serving for a while and still is, so that it
+// holds what it was told under earlier versions.
+func (b *BackendServer) Stays() bool { return b.State == Ready || b.State == Draining }
+
 // PlacementWeight returns Weight where b takes new flows, else 0.
 func (b *BackendServer) PlacementWeight() uint32 {
 	if b.TakesNew() {
@@ -241,3 +245,10 @@
 	// Flows is the number of flows the agent owns.
 	Flows uint32 `cbor:"14,keyasint"`
 }
+
+// Load is the number of flows that an agent owned when it announced itself.
+type Load struct {
+	// Seed is the hash seed of the backend server's ID.
+	Seed  uint64 `cbor:"1,keyasint"`
+	Flows uint32 `cbor:"2,keyasint"`
+}
