--- a/core/flow/agent.go
+++ b/core/flow/agent.go
@@ -77,9 +77,10 @@
 
 // adopted is the newest view and when it was adopted.
 type adopted struct {
-	view *view.View
-	at   time.Duration
-	self int // index of this agent, or -1
+	view     *view.View
+	previous *view.View // the one before, or nil
+	at       time.Duration
+	self     int // index of this agent, or -1
 }
 
 type addressSet struct {
@@ -117,13 +118,17 @@
 func (a *Agent) SetView(now time.Duration, v *view.View) bool {
 	a.adopt.Lock()
 	defer a.adopt.Unlock()
-	if c := a.current.Load(); c != nil && !v.Version.Newer(c.view.Version) {
-		return false
+	next := &adopted{view: v, at: now, self: v.FindSeed(a.options.Self.Seed)}
+	if c := a.current.Load(); c != nil {
+		if !v.Version.Newer(c.view.Version) {
+			return false
+		}
+		next.previous = c.view
 	}
 	for i := range v.Members {
 		a.peers.slot(PeerOf(v, i))
 	}
-	a.current.Store(&adopted{view: v, at: now, self: v.FindSeed(a.options.Self.Seed)})
+	a.current.Store(next)
 	return true
 }
 
--- a/core/flow/balance.go
+++ b/core/flow/balance.go
@@ -11,13 +11,6 @@
 // above which an agent places new flows on others.
 const divertAbove = 0.01
 
-// Load is the number of flows that an agent owned when the report was made.
-type Load struct {
-	// Seed names the agent.
-	Seed  uint64 `cbor:"1,keyasint"`
-	Flows uint32 `cbor:"2,keyasint"`
-}
-
 // balance is what one report of loads allows.
 type balance struct {
 	quota atomic.Int64  // flows left to place elsewhere
@@ -28,7 +21,7 @@
 // SetLoads takes a report of the loads of a service's agents, all of about one
 // moment. An agent whose load exceeds its fair share by weight places as many
 // new flows as it has too many on agents below theirs, until the next report.
-func (a *Agent) SetLoads(loads []Load) {
+func (a *Agent) SetLoads(loads []view.Load) {
 	c := a.current.Load()
 	if c == nil || c.self < 0 || c.view.Resting() {
 		return
@@ -69,7 +62,7 @@
 // divert returns the agent that a new flow is placed on for balance, if any.
 func (r *request) divert(current *adopted) (Peer, bool) {
 	b := r.agent.balance.Load()
-	if b == nil || current == nil || b.view != current.view || b.quota.Load() <= 0 {
+	if r.packet.Ballot.Retake || b == nil || current == nil || b.view != current.view || b.quota.Load() <= 0 {
 		return Peer{}, false
 	}
 	i := placement.PickTarget(r.id.Key, b.under)
--- a/core/flow/balancer.go
+++ b/core/flow/balancer.go
@@ -218,24 +218,39 @@
 func (v *views) priors(key, pick uint64) (p Priors, all bool) {
 	for _, e := range v.earlier {
 		i := e.pick(key)
-		if i == placement.None || e.view.Seed(i) == pick {
+		if i == placement.None {
 			continue
 		}
-		if !p.add(v.latest(e.view, i)) {
+		first, stays := v.latest(e.view, i)
+		if first.Seed != pick && !p.add(first) {
+			return p, false
+		}
+		if stays {
+			continue
+		}
+		i = placement.PickStaying(key, e.view, e.targets)
+		if i == placement.None {
+			continue
+		}
+		if next, _ := v.latest(e.view, i); next.Seed != pick && !p.add(next) {
 			return p, false
 		}
 	}
 	return p, true
 }
 
-func (v *views) latest(old *view.View, i int) Peer {
+// latest returns member i of an older view in its latest run, and whether it
+// stays in the newest view.
+func (v *views) latest(old *view.View, i int) (Peer, bool) {
 	current := v.current.view
+	j := i
 	if current != old {
-		if j := current.FindSeed(old.Seed(i)); j >= 0 {
-			return PeerOf(current, j)
-		}
+		j = current.FindSeed(old.Seed(i))
+	}
+	if j < 0 {
+		return PeerOf(old, i), false
 	}
-	return PeerOf(old, i)
+	return PeerOf(current, j), current.Members[j].Stays()
 }
 
 // Drops returns the number of packets not forwarded, by reason.
--- a/core/flow/packet.go
+++ b/core/flow/packet.go
@@ -41,7 +41,7 @@
 )
 
 // MaxPriors is the number of earlier picks that a balancer names at most.
-const MaxPriors = 3
+const MaxPriors = 4
 
 // Priors are earlier picks, followed by zero values.
 type Priors [MaxPriors]Peer
@@ -61,7 +61,7 @@
 }
 
 // MaxDenied is the number of denials that one packet carries at most.
-const MaxDenied = 6
+const MaxDenied = 8
 
 // Packet is the envelope of one caller datagram between processes.
 type Packet struct {
--- a/core/flow/search.go
+++ b/core/flow/search.go
@@ -79,7 +79,7 @@
 	}
 	slot := e.home - homePeer
 	home := r.agent.peers.peer(slot)
-	if !r.agent.live(home) && r.agent.peers.silent(slot, r.now) {
+	if r.agent.gone(home, slot, r.now) {
 		return r.askOwner(e)
 	}
 	r.packet.raise(bound)
@@ -99,13 +99,12 @@
 		return Action{}, false
 	}
 	owner := r.agent.peers.peer(e.slot())
-	live := r.agent.live(owner)
-	if r.packet.denies(owner.Seed) || !live && r.agent.peers.silent(e.slot(), r.now) {
+	if r.packet.denies(owner.Seed) || r.agent.gone(owner, e.slot(), r.now) {
 		e.owner = ownerNone
 		return Action{}, false
 	}
 	e.seen = ticks(r.now)
-	return r.ask(owner, !live), true
+	return r.ask(owner, !r.agent.live(owner)), true
 }
 
 // live reports whether the newest view holds the agent as a member.
@@ -118,6 +117,12 @@
 	return i >= 0 && c.view.Members[i].State != view.Gone
 }
 
+// gone reports whether an agent is to be passed over: the newest view does not
+// hold it, and it does not answer either.
+func (a *Agent) gone(p Peer, slot uint32, now time.Duration) bool {
+	return !a.live(p) && a.peers.silent(slot, now)
+}
+
 // nextEarlier returns the home of an earlier ballot that has not promised yet.
 func (r *request) nextEarlier(current *adopted) (Peer, bool) {
 	if p := r.packet.Rival; !p.IsZero() && r.askable(p) {
@@ -140,22 +145,41 @@
 		return Peer{}, false
 	}
 	for i := range current.view.Earlier {
-		m := placement.PickPast(r.id.Key, current.view, i)
-		if m == placement.None {
-			continue
-		}
-		if p := PeerOf(current.view, m); r.askable(p) {
-			return p, true
+		first, next := earlierPicks(r.id.Key, current.view, current.view.PastTargets(i))
+		for _, m := range [...]int{first, next} {
+			if m == placement.None {
+				continue
+			}
+			if p := PeerOf(current.view, m); r.askable(p) {
+				return p, true
+			}
 		}
 	}
+	if current.previous == nil {
+		return Peer{}, false
+	}
+	if p, ok := pickOf(r.id.Key, current.previous); ok && r.askable(p) {
+		return r.agent.peers.latest(p), true
+	}
 	return Peer{}, false
 }
 
+// earlierPicks returns the member of v that the targets of an earlier version
+// place key on and, if that member has not stayed since, the one that held the
+// pointers in its stead; None where there is none.
+func earlierPicks(key uint64, v *view.View, targets []view.Target) (first, next int) {
+	first = placement.PickTarget(key, targets)
+	if first == placement.None || v.Members[first].Stays() {
+		return first, placement.None
+	}
+	return first, placement.PickStaying(key, v, targets)
+}
+
 func (r *request) askable(p Peer) bool {
 	if p.Seed == r.agent.options.Self.Seed || r.packet.denies(p.Seed) {
 		return false
 	}
-	return !r.agent.peers.silent(r.agent.peers.slot(p), r.now)
+	return !r.agent.gone(p, r.agent.peers.slot(p), r.now)
 }
 
 // answer decides about another home's question: deliver, pass it on along a
@@ -187,8 +211,7 @@
 	}
 	slot := e.slot()
 	owner := r.agent.peers.peer(slot)
-	gone := !r.agent.live(owner) && r.agent.peers.silent(slot, r.now)
-	if gone || owner.Seed == home.Seed || r.packet.denies(owner.Seed) {
+	if r.agent.gone(owner, slot, r.now) || owner.Seed == home.Seed || r.packet.denies(owner.Seed) {
 		return Action{}, false
 	}
 	r.promise(home, r.packet.Ballot)
@@ -305,12 +328,14 @@
 		return p, true
 	}
 	for i := range current.view.Earlier {
-		m := placement.PickPast(r.id.Key, current.view, i)
-		if m == placement.None || current.view.Seed(m) == r.agent.options.Self.Seed {
-			continue
-		}
-		if !p.add(PeerOf(current.view, m)) {
-			return p, false
+		first, next := earlierPicks(r.id.Key, current.view, current.view.PastTargets(i))
+		for _, m := range [...]int{first, next} {
+			if m == placement.None || current.view.Seed(m) == r.agent.options.Self.Seed {
+				continue
+			}
+			if !p.add(PeerOf(current.view, m)) {
+				return p, false
+			}
 		}
 	}
 	return p, true
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -35,6 +35,21 @@
 	return int(best.index)
 }
 
+// PickStaying is PickTarget among the targets whose members of v stay.
+func PickStaying(key uint64, v *view.View, targets []view.Target) int {
+	best := candidate{index: None}
+	for i := range targets {
+		if !v.Members[targets[i].Index].Stays() {
+			continue
+		}
+		c := newCandidate(key, &targets[i])
+		if c.beats(&best) {
+			best = c
+		}
+	}
+	return int(best.index)
+}
+
 // Two returns the indexes of the first and the second choice for key, or None
 // in their place. If the first leaves the view, Pick returns the second.
 func Two(key uint64, v *view.View) (first, second int) {
