--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -27,6 +27,14 @@
 	return r.leader != 0 && r.electionElapsed < r.config.ElectionTicks
 }
 
+// Campaign starts an election at once, for a replica that knows that there is
+// no leader to wait for.
+func (r *Replica) Campaign() {
+	if r.role != Leader && r.log.membership().IsVoter(r.id) {
+		r.campaign(PreCandidate, false)
+	}
+}
+
 // campaign asks the voters for their votes as a PreCandidate, which changes no
 // term (thesis, 9.6), or as a Candidate.
 func (r *Replica) campaign(role Role, transfer bool) {
--- a/core/quorum/ready.go
+++ b/core/quorum/ready.go
@@ -128,7 +128,9 @@
 	Applied    uint64
 	Snapshot   uint64 // last entry in the latest snapshot
 	Membership Membership
-	Progress   []Progress // leader only
+	// First is the membership of the latest snapshot.
+	First    Membership
+	Progress []Progress // leader only
 }
 
 // Membership returns the membership in force.
@@ -140,6 +142,7 @@
 		ID: r.id, Cluster: r.cluster, Role: r.role, Leader: r.leader, Term: r.term,
 		Last: r.log.lastIndex(), Committed: r.log.committed, Applied: r.log.applied,
 		Snapshot: r.log.snapshot.Index, Membership: r.log.membership(),
+		First: r.log.snapshot.Membership,
 	}
 	for _, p := range r.progress {
 		s.Progress = append(s.Progress, *p)
