--- a/daemon/internal/replica/node.go
+++ b/daemon/internal/replica/node.go
@@ -85,6 +85,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if members := core.Membership(); members.Voters() == 1 {
+		core.Campaign() // nobody else could lead
+	}
 	n := &Node{
 		options: o, core: core, log: o.Log,
 		inbox: make(chan []quorum.Message, inboxBatches), calls: make(chan func()),
@@ -140,6 +143,10 @@
 
 func (n *Node) run() {
 	defer close(n.done)
+	if err := n.work(); err != nil {
+		n.end(err)
+		return
+	}
 	ticks := n.options.Ticks
 	if ticks == nil {
 		ticker := time.NewTicker(TickInterval)
