group: found, join and change a control group

A replica with an empty disk founds a cluster only when all peers say that they belong to none, since one that lost its disk would else found a second cluster. Founders reach the same first state by themselves: the cluster ID is a hash of the group's name and of the random replica IDs. Learners are promoted once they have caught up.

--- /dev/null
+++ b/daemon/internal/group/group.go
@@ -0,0 +1,208 @@
+// Package group makes a control process a member of its control group: it
+// opens the durable store, founds or joins the cluster, runs the replica and
+// serves operators' changes to the membership.
+package group
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"fulmarmount.org/core/quorum"
+	"fulmarmount.org/daemon/internal/disk"
+	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/daemon/internal/replica"
+	"fulmarmount.org/daemon/internal/replicalink"
+)
+
+// Errors is the namespace of this package's error types.
+var Errors = errorx.NewNamespace("group")
+
+var (
+	// Waiting says that the replica belongs to no cluster yet.
+	Waiting = Errors.NewType("waiting", errorx.Temporary())
+	// Refused refuses an operator's change.
+	Refused = Errors.NewType("refused")
+)
+
+// Peer is a control replica that the settings name.
+type Peer struct {
+	Name string
+	Addr netip.AddrPort
+}
+
+// Options configure a Group.
+type Options struct {
+	// Name is the VM's name.
+	Name string
+	// Addr is the address where other replicas reach this one.
+	Addr netip.AddrPort
+	// Cluster is the operators' name of the control group.
+	Cluster string
+	// Peers are the replicas of a new cluster, this one included. None, or
+	// this one alone, makes a cluster of one replica.
+	Peers []Peer
+	// Folder holds the durable state; empty keeps it in memory, for a replica
+	// on its own.
+	Folder  string
+	Machine replica.StateMachine
+	// Pool connects to other replicas; nil for a replica on its own.
+	Pool *peer.Pool
+	Now  func() time.Time
+	Log  *zap.Logger
+}
+
+// Group is the membership of this process in its control group. It is safe for
+// concurrent use.
+type Group struct {
+	options Options
+	store   store
+	self    quorum.Member
+	link    *replicalink.Link
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	node    *replica.Node
+	started chan struct{} // closed once node is set
+	failed  error         // why the node could not start
+}
+
+// store is a replica.Store that is closed at the end.
+type store interface {
+	replica.Store
+	Close() error
+}
+
+// memory is a store without files.
+type memory struct{ *disk.Memory }
+
+// Close implements store.
+func (memory) Close() error { return nil }
+
+// Open opens the store and starts the replica, once it belongs to a cluster.
+func Open(o Options) (*Group, error) {
+	s, err := openStore(o.Folder)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &Group{
+		options: o, store: s, cancel: cancel, started: make(chan struct{}),
+		self: quorum.Member{ID: s.Replica(), Name: o.Name, Address: o.Addr.String()},
+	}
+	g.link = replicalink.New(replicalink.Options{
+		Self: g.self, Pool: o.Pool, Receive: g.receive, Identity: g.identity, Now: o.Now, Log: o.Log,
+	})
+	if replica.Blank(s) && len(o.Peers) > 1 {
+		o.Log.Info("Replica belongs to no cluster yet.", zap.Stringer("replica", g.self.ID))
+		g.running.Go(func() { g.found(ctx) })
+	} else if err := g.startAlone(); err != nil {
+		cancel()
+		_ = s.Close()
+		return nil, err
+	}
+	g.running.Go(func() { g.promoteLearners(ctx) })
+	return g, nil
+}
+
+func openStore(folder string) (store, error) {
+	if folder == "" {
+		m, err := disk.NewMemory()
+		return memory{m}, err
+	}
+	return disk.Open(disk.Options{Folder: folder})
+}
+
+// startAlone starts a replica that has a cluster or founds one of its own.
+func (g *Group) startAlone() error {
+	if replica.Blank(g.store) {
+		if err := replica.Bootstrap(g.store, clusterID(g.options.Cluster, g.self.ID), g.self); err != nil {
+			return err
+		}
+	}
+	return g.start()
+}
+
+// start runs the replica with what the store holds.
+func (g *Group) start() error {
+	n, err := replica.Start(replica.Options{
+		Store: g.store, Machine: g.options.Machine, Transport: g.link,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: g.options.Log,
+	})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.node, g.failed = n, err
+	close(g.started)
+	return err
+}
+
+// Node returns the running replica. It waits for it until ctx ends.
+func (g *Group) Node(ctx context.Context) (*replica.Node, error) {
+	select {
+	case <-g.started:
+	case <-ctx.Done():
+		return nil, Waiting.New("replica %s belongs to no cluster yet", g.self.ID)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node, g.failed
+}
+
+// current returns the running replica, or nil.
+func (g *Group) current() *replica.Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node
+}
+
+// Propose replicates a command and returns the state machine's answer.
+func (g *Group) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	n, err := g.Node(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return n.Propose(ctx, command)
+}
+
+// Barrier returns once the local state holds every acknowledged command.
+func (g *Group) Barrier(ctx context.Context) error {
+	n, err := g.Node(ctx)
+	if err != nil {
+		return err
+	}
+	return n.ReadIndex(ctx)
+}
+
+// Handlers returns what serves the other replicas, by the kind of stream.
+func (g *Group) Handlers() map[string]peer.Handler {
+	return map[string]peer.Handler{
+		replicalink.Messages: g.link.HandleMessages,
+		replicalink.Identify: g.link.HandleIdentify,
+	}
+}
+
+// receive passes messages on. A replica that has not started yet drops them;
+// leaders send again.
+func (g *Group) receive(messages []quorum.Message) {
+	if n := g.current(); n != nil {
+		n.Receive(messages)
+	}
+}
+
+// Stop hands leadership on, ends the replica and closes the store.
+func (g *Group) Stop(ctx context.Context) error {
+	g.cancel()
+	g.running.Wait()
+	var err error
+	if n := g.current(); n != nil {
+		err = n.Stop(ctx)
+	}
+	g.link.Close()
+	return errorx.DecorateMany("control group does not stop", err, g.store.Close())
+}
