--- a/daemon/internal/replicalink/link_test.go
+++ b/daemon/internal/replicalink/link_test.go
@@ -42,12 +42,19 @@
 		Identity: func() Identity { return Identity{Member: quorum.Member{ID: id}, Group: "control"} },
 	}
 	var link *Link
+	ready := make(chan struct{}) // the link needs the server's address
 	server, err := peer.Listen(peer.ServerOptions{
 		Addr: netip.MustParseAddrPort("127.0.0.1:0"), Log: zap.NewNop(),
 		TLS: identity.ServerTLSFor([]keys.Role{keys.Control, keys.Agent}, peer.Protocol),
 		Handlers: map[string]peer.Handler{
-			Messages: func(ctx context.Context, from keys.Info, s *peer.Stream) { link.HandleMessages(ctx, from, s) },
-			Identify: func(ctx context.Context, from keys.Info, s *peer.Stream) { link.HandleIdentify(ctx, from, s) },
+			Messages: func(ctx context.Context, from keys.Info, s *peer.Stream) {
+				<-ready
+				link.HandleMessages(ctx, from, s)
+			},
+			Identify: func(ctx context.Context, from keys.Info, s *peer.Stream) {
+				<-ready
+				link.HandleIdentify(ctx, from, s)
+			},
 		},
 	})
 	if err != nil {
@@ -56,6 +63,7 @@
 	e.addr = server.Addr()
 	options.Self.Address = e.addr.String()
 	link = New(options)
+	close(ready)
 	e.link = link
 	t.Cleanup(func() {
 		link.Close()
