Flows owned by agents, and leased membership, through the real roles

Balancers decided by the newest view alone and agents took whatever came, so a view change or two balancers with different views moved flows. Envelopes now carry the ballot, the earlier picks and the denials; agents deliver, relay or take by the flow core and push pointers in control envelopes; control publishes the registry's views, and tells agents each other's loads with the lease. Datagrams are bounded so that what relays add always fits: 1298 bytes on a 1500 byte path over IPv4, 1226 over IPv6.

A host gets new flows once its agent has adopted the service and a view.

--- a/core/flow/balance.go
+++ b/core/flow/balance.go
@@ -62,7 +62,7 @@
 // divert returns the agent that a new flow is placed on for balance, if any.
 func (r *request) divert(current *adopted) (Peer, bool) {
 	b := r.agent.balance.Load()
-	if r.packet.Ballot.Retake || b == nil || current == nil || b.view != current.view || b.quota.Load() <= 0 {
+	if b == nil || current == nil || r.packet.Ballot != (Ballot{Version: current.view.Version}) || b.view != current.view || b.quota.Load() <= 0 {
 		return Peer{}, false
 	}
 	i := placement.PickTarget(r.id.Key, b.under)
--- a/core/flow/packet.go
+++ b/core/flow/packet.go
@@ -61,7 +61,7 @@
 }
 
 // MaxDenied is the number of denials that one packet carries at most.
-const MaxDenied = 8
+const MaxDenied = 7
 
 // Packet is the envelope of one caller datagram between processes.
 type Packet struct {
@@ -73,7 +73,7 @@
 	// Target is the run of the agent that the packet is meant for.
 	Target view.Incarnation
 	// Priors are the agents that earlier views placed the flow on, the newest
-	// first; zero where there are fewer.
+	// first; zero where there are fewer. Those in Denied may be left out.
 	Priors Priors
 	// Informed tells that Priors holds the homes of all earlier ballots that the
 	// view of Ballot knows of. A home whose own view is older takes no flow
@@ -99,13 +99,11 @@
 	if !b.Newer(p.Ballot) {
 		return
 	}
-	if b.Version != p.Ballot.Version {
-		p.Informed = false
-	}
-	p.Ballot, p.Denials = b, 0
+	p.Ballot, p.Denials, p.Informed = b, 0, false
 }
 
-func (p *Packet) denies(seed uint64) bool {
+// Denies reports whether the agent of a seed is among Denied.
+func (p *Packet) Denies(seed uint64) bool {
 	for _, d := range p.Denied[:p.Denials] {
 		if d == seed {
 			return true
@@ -115,7 +113,7 @@
 }
 
 func (p *Packet) deny(seed uint64) {
-	if p.Denials < MaxDenied && !p.denies(seed) {
+	if p.Denials < MaxDenied && !p.Denies(seed) {
 		p.Denied[p.Denials] = seed
 		p.Denials++
 	}
--- a/core/flow/search.go
+++ b/core/flow/search.go
@@ -99,7 +99,7 @@
 		return Action{}, false
 	}
 	owner := r.agent.peers.peer(e.slot())
-	if r.packet.denies(owner.Seed) || r.agent.gone(owner, e.slot(), r.now) {
+	if r.packet.Denies(owner.Seed) || r.agent.gone(owner, e.slot(), r.now) {
 		e.owner = ownerNone
 		return Action{}, false
 	}
@@ -176,7 +176,7 @@
 }
 
 func (r *request) askable(p Peer) bool {
-	if p.Seed == r.agent.options.Self.Seed || r.packet.denies(p.Seed) {
+	if p.Seed == r.agent.options.Self.Seed || r.packet.Denies(p.Seed) {
 		return false
 	}
 	return !r.agent.gone(p, r.agent.peers.slot(p), r.now)
@@ -211,7 +211,7 @@
 	}
 	slot := e.slot()
 	owner := r.agent.peers.peer(slot)
-	if r.agent.gone(owner, slot, r.now) || owner.Seed == home.Seed || r.packet.denies(owner.Seed) {
+	if r.agent.gone(owner, slot, r.now) || owner.Seed == home.Seed || r.packet.Denies(owner.Seed) {
 		return Action{}, false
 	}
 	r.promise(home, r.packet.Ballot)
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -269,6 +270,21 @@
 	}
 }
 
+func TestLoads(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, Options{})
+	f.run(10 * second)
+	for i, a := range f.agents {
+		a.Flows = uint32(100 + i)
+	}
+	f.run(2 * second)
+	is.Equal(len(f.r.Loads(f.now, 1, "host-2", 64)), 7)
+	few := f.r.Loads(f.now, 1, "host-6", 4)
+	is.Equal(len(few), 4)
+	is.True(slices.Contains(few, view.Load{Seed: view.SeedOf("host-6"), Flows: 106}))
+	is.Equal(f.r.Loads(f.now, 2, "host-6", 4), nil)
+}
+
 func TestMovedToAnotherService(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(2, Options{})
--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -9,6 +9,7 @@
 
 // Stats are a Registry's counts since its start.
 type Stats struct {
+	Members       int    // registered now
 	Announcements uint64 // taken
 	Replayed      uint64 // refused as older than one already taken
 	Invalid       uint64 // refused for a missing field
@@ -272,4 +273,8 @@
 }
 
 // Stats returns the counts.
-func (r *Registry) Stats() Stats { return r.stats }
+func (r *Registry) Stats() Stats {
+	s := r.stats
+	s.Members = len(r.members)
+	return s
+}
--- a/core/lease/status.go
+++ b/core/lease/status.go
@@ -67,15 +67,19 @@
 	return out
 }
 
-// Loads returns the flows owned by each member of a service that is heard.
-func (r *Registry) Loads(now time.Duration, id view.ServiceID) []view.Load {
-	s := r.services[id]
-	if s == nil {
+// Loads returns the flows owned by members of a service that are heard: by all,
+// or by limit of them around the member with the given ID.
+func (r *Registry) Loads(now time.Duration, id view.ServiceID, around string, limit int) []view.Load {
+	v := r.View(id)
+	if v == nil {
 		return nil
 	}
-	out := make([]view.Load, 0, len(s.members))
-	for _, key := range slices.Sorted(maps.Keys(s.members)) {
-		if m := s.members[key]; !m.lapsed(now, &r.options) {
+	s, n := r.services[id], len(v.Members)
+	start := max(0, v.Find(around)-limit/2)
+	out := make([]view.Load, 0, min(n, limit))
+	for i := range min(n, limit) {
+		key := v.Members[(start+i)%n].ID
+		if m := s.members[key]; m != nil && !m.lapsed(now, &r.options) {
 			out = append(out, view.Load{Seed: view.SeedOf(key), Flows: m.announcement.Flows})
 		}
 	}
--- a/daemon/internal/packet/header.go
+++ b/daemon/internal/packet/header.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"net/netip"
 
+	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
 )
 
@@ -23,87 +24,143 @@
 // Header describes one datagram on its way through the fleet.
 type Header struct {
 	Kind Kind
-	// Fresh marks a packet that an earlier owner has sent back as not its own.
-	Fresh bool
-	// Hops counts the agents that have relayed the packet.
-	Hops uint8
-	// Service is the service that the caller addressed.
-	Service view.ServiceID
-	// View is the newest view the sender chose from.
-	View view.Version
-	// Incarnation is the run of the agent that the envelope is meant for. An
-	// envelope for another run is refused.
-	Incarnation view.Incarnation
-	// Caller and Address are the two ends of the caller's flow.
-	Caller  netip.AddrPort
-	Address netip.AddrPort
 	// ReplyTo is the envelope address of the balancer that took the packet.
 	ReplyTo netip.AddrPort
-	// Prior is the agent an earlier view placed the flow on; invalid where
-	// both views agree.
-	Prior            netip.AddrPort
-	PriorIncarnation view.Incarnation
+	// Flow is what balancers and agents decide by. A Reply carries its service
+	// and tuple; a Control message its service and target.
+	Flow flow.Packet
 }
 
 const (
-	magic = 0xf1 // first byte of every envelope, layout version 1
+	magic = 0xf2 // first byte of every envelope, layout version 2
 
-	flagFresh = 1 << 0
-	flagPrior = 1 << 1
-	flagIPv6  = 1 << 2
+	flagRetake   = 1 << 0
+	flagInformed = 1 << 1
+	flagIPv6     = 1 << 2
+	flagAnswer   = 1 << 3
+	flagHome     = 1 << 4
+	flagRival    = 1 << 5
 
 	// fixedSize is the length of the part of the header before the addresses:
 	// magic, kind, flags, key ID, session, sequence, service, epoch, number,
-	// incarnation, hops.
-	fixedSize = 4 + 8 + 8 + 4 + 8 + 8 + 8 + 1
+	// incarnation, hops, counts.
+	fixedSize = 4 + 8 + 8 + 4 + 8 + 8 + 8 + 1 + 1
 
 	sessionOffset  = 4
 	sequenceOffset = 12
+	hopsOffset     = 48
+	countsOffset   = 49
+
+	// The counts byte holds the flow's kind, the number of priors and the
+	// number of denials.
+	kindBits   = 2
+	priorsBits = 3
+	denialBits = 3
 
 	ipv4Size = 6  // bytes of an IPv4 address and port
 	ipv6Size = 18 // bytes of an IPv6 address and port
+	peerSize = 16 // bytes of an agent's seed and incarnation
+	seedSize = 8  // bytes of a denial
 
 	// TagSize is the length of the tag in bytes.
 	TagSize = 16
 
 	// MaxOverhead is the most bytes an envelope adds to a caller's datagram.
-	MaxOverhead = fixedSize + 4*ipv6Size + 8 + TagSize
+	MaxOverhead = fixedSize + 3*ipv6Size + (flow.MaxPriors+2)*(peerSize+ipv6Size) + flow.MaxDenied*seedSize + TagSize
+
+	// reservedPeers and reservedDenials are what envelopes of one datagram may
+	// carry beside the addresses without being refused for the MTU.
+	reservedPeers   = 3
+	reservedDenials = 3
+
+	// ipUDPOverhead is the length of an IPv4 and a UDP header in bytes.
+	ipUDPOverhead = 28
 )
 
 // is4 reports whether every address of h fits the short form.
 func (h *Header) is4() bool {
 	short := func(a netip.AddrPort) bool { return !a.IsValid() || a.Addr().Is4() }
-	return short(h.Caller) && short(h.Address) && short(h.ReplyTo) && short(h.Prior)
+	for i := range h.Flow.Priors {
+		if !short(h.Flow.Priors[i].Addr) {
+			return false
+		}
+	}
+	return short(h.Flow.Tuple.Caller) && short(h.Flow.Tuple.Service) && short(h.ReplyTo) &&
+		short(h.Flow.Home.Addr) && short(h.Flow.Rival.Addr)
 }
 
-// append writes h to b. The key ID, session and sequence fields are filled in
-// by the Sealer.
-func (h *Header) append(b []byte, keyID uint8, session, sequence uint64) []byte {
-	var flags byte
-	if h.Fresh {
-		flags |= flagFresh
+// MaxPayload returns the longest datagram in bytes that a balancer takes for an
+// IP packet of mtu bytes. It leaves room for what relays add, so that a datagram
+// that fits once fits through every change.
+func (h *Header) MaxPayload(mtu int) int {
+	addr := ipv4Size
+	if !h.is4() {
+		addr = ipv6Size
 	}
-	if h.Prior.IsValid() {
-		flags |= flagPrior
+	base := fixedSize + 3*addr + TagSize
+	return mtu - ipUDPOverhead - base - reservedPeers*(peerSize+addr) - reservedDenials*seedSize
+}
+
+func (h *Header) flags() (flags byte, wide bool) {
+	wide = !h.is4()
+	for _, f := range [...]struct {
+		set  bool
+		flag byte
+	}{
+		{h.Flow.Ballot.Retake, flagRetake},
+		{h.Flow.Informed, flagInformed},
+		{wide, flagIPv6},
+		{h.Flow.Answer, flagAnswer},
+		{!h.Flow.Home.IsZero(), flagHome},
+		{!h.Flow.Rival.IsZero(), flagRival},
+	} {
+		if f.set {
+			flags |= f.flag
+		}
 	}
-	wide := !h.is4()
-	if wide {
-		flags |= flagIPv6
+	return flags, wide
+}
+
+// priors returns the earlier picks that have not denied the flow: the others
+// need not travel on.
+func (h *Header) priors() (p flow.Priors, n int) {
+	for _, prior := range h.Flow.Priors {
+		if !prior.IsZero() && !h.Flow.Denies(prior.Seed) {
+			p[n] = prior
+			n++
+		}
 	}
+	return p, n
+}
+
+// append writes h to b. The key ID, session and sequence fields are filled in
+// by the Sealer.
+func (h *Header) append(b []byte, keyID uint8, session, sequence uint64) []byte {
+	f := &h.Flow
+	flags, wide := h.flags()
+	priors, n := h.priors()
 	b = append(b, magic, byte(h.Kind), flags, keyID)
 	b = binary.BigEndian.AppendUint64(b, session)
 	b = binary.BigEndian.AppendUint64(b, sequence)
-	b = binary.BigEndian.AppendUint32(b, uint32(h.Service))
-	b = binary.BigEndian.AppendUint64(b, h.View.Epoch)
-	b = binary.BigEndian.AppendUint64(b, h.View.Number)
-	b = binary.BigEndian.AppendUint64(b, uint64(h.Incarnation))
-	b = append(b, h.Hops)
-	b = appendAddr(b, h.Caller, wide)
-	b = appendAddr(b, h.Address, wide)
+	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
+	b = binary.BigEndian.AppendUint64(b, f.Ballot.Version.Epoch)
+	b = binary.BigEndian.AppendUint64(b, f.Ballot.Version.Number)
+	b = binary.BigEndian.AppendUint64(b, uint64(f.Target))
+	b = append(b, f.Hops, byte(f.Kind)|byte(n)<<kindBits|f.Denials<<(kindBits+priorsBits))
+	b = appendAddr(b, f.Tuple.Caller, wide)
+	b = appendAddr(b, f.Tuple.Service, wide)
 	b = appendAddr(b, h.ReplyTo, wide)
-	if h.Prior.IsValid() {
-		b = appendAddr(b, h.Prior, wide)
-		b = binary.BigEndian.AppendUint64(b, uint64(h.PriorIncarnation))
+	for _, p := range priors[:n] {
+		b = appendPeer(b, p, wide)
+	}
+	if !f.Home.IsZero() {
+		b = appendPeer(b, f.Home, wide)
+	}
+	if !f.Rival.IsZero() {
+		b = appendPeer(b, f.Rival, wide)
+	}
+	for _, seed := range f.Denied[:f.Denials] {
+		b = binary.BigEndian.AppendUint64(b, seed)
 	}
 	return b
 }
@@ -114,42 +171,77 @@
 	if len(b) < fixedSize || b[0] != magic {
 		return 0
 	}
-	flags := b[2]
-	wide := flags&flagIPv6 != 0
-	size := headerSize(flags)
-	if len(b) < size {
+	flags, counts := b[2], b[countsOffset]
+	size := headerSize(flags, counts)
+	if len(b) < size || priorCount(counts) > flow.MaxPriors {
 		return 0
 	}
+	wide := flags&flagIPv6 != 0
 	h.Kind = Kind(b[1])
-	h.Fresh = flags&flagFresh != 0
-	h.Service = view.ServiceID(binary.BigEndian.Uint32(b[20:]))
-	h.View.Epoch = binary.BigEndian.Uint64(b[24:])
-	h.View.Number = binary.BigEndian.Uint64(b[32:])
-	h.Incarnation = view.Incarnation(binary.BigEndian.Uint64(b[40:]))
-	h.Hops = b[48]
-	rest := b[fixedSize:]
-	h.Caller, rest = parseAddr(rest, wide)
-	h.Address, rest = parseAddr(rest, wide)
+	h.Flow = flow.Packet{
+		Kind:    flow.Kind(counts & (1<<kindBits - 1)),
+		Service: view.ServiceID(binary.BigEndian.Uint32(b[20:])),
+		Ballot: flow.Ballot{
+			Version: view.Version{Epoch: binary.BigEndian.Uint64(b[24:]), Number: binary.BigEndian.Uint64(b[32:])},
+			Retake:  flags&flagRetake != 0,
+		},
+		Target:   view.Incarnation(binary.BigEndian.Uint64(b[40:])),
+		Informed: flags&flagInformed != 0,
+		Answer:   flags&flagAnswer != 0,
+		Hops:     b[hopsOffset],
+		Denials:  denialCount(counts),
+	}
+	f, rest := &h.Flow, b[fixedSize:]
+	f.Tuple.Caller, rest = parseAddr(rest, wide)
+	f.Tuple.Service, rest = parseAddr(rest, wide)
 	h.ReplyTo, rest = parseAddr(rest, wide)
-	h.Prior, h.PriorIncarnation = netip.AddrPort{}, 0
-	if flags&flagPrior != 0 {
-		h.Prior, rest = parseAddr(rest, wide)
-		h.PriorIncarnation = view.Incarnation(binary.BigEndian.Uint64(rest))
+	for i := range priorCount(counts) {
+		f.Priors[i], rest = parsePeer(rest, wide)
+	}
+	if flags&flagHome != 0 {
+		f.Home, rest = parsePeer(rest, wide)
+	}
+	if flags&flagRival != 0 {
+		f.Rival, rest = parsePeer(rest, wide)
+	}
+	for i := range f.Denials {
+		f.Denied[i] = binary.BigEndian.Uint64(rest[int(i)*seedSize:])
 	}
 	return size
 }
 
-// headerSize returns the header length that the flags announce, in bytes.
-func headerSize(flags byte) int {
+func priorCount(counts byte) int { return int(counts >> kindBits & (1<<priorsBits - 1)) }
+
+func denialCount(counts byte) uint8 { return counts >> (kindBits + priorsBits) & (1<<denialBits - 1) }
+
+// headerSize returns the header length that the flags and counts announce, in
+// bytes.
+func headerSize(flags, counts byte) int {
 	addr := ipv4Size
 	if flags&flagIPv6 != 0 {
 		addr = ipv6Size
 	}
-	size := fixedSize + 3*addr
-	if flags&flagPrior != 0 {
-		size += addr + 8
+	peers := priorCount(counts)
+	if flags&flagHome != 0 {
+		peers++
 	}
-	return size
+	if flags&flagRival != 0 {
+		peers++
+	}
+	return fixedSize + 3*addr + peers*(peerSize+addr) + int(denialCount(counts))*seedSize
+}
+
+func appendPeer(b []byte, p flow.Peer, wide bool) []byte {
+	b = binary.BigEndian.AppendUint64(b, p.Seed)
+	b = binary.BigEndian.AppendUint64(b, uint64(p.Incarnation))
+	return appendAddr(b, p.Addr, wide)
+}
+
+func parsePeer(b []byte, wide bool) (p flow.Peer, rest []byte) {
+	p.Seed = binary.BigEndian.Uint64(b)
+	p.Incarnation = view.Incarnation(binary.BigEndian.Uint64(b[8:]))
+	p.Addr, rest = parseAddr(b[peerSize:], wide)
+	return p, rest
 }
 
 func appendAddr(b []byte, a netip.AddrPort, wide bool) []byte {
--- a/daemon/internal/packet/packet_test.go
+++ b/daemon/internal/packet/packet_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
 )
 
@@ -32,20 +33,38 @@
 
 func header() Header {
 	return Header{
-		Kind: Forward, Fresh: true, Hops: 3, Service: 7,
-		View: view.Version{Epoch: 2, Number: 9}, Incarnation: 11,
-		Caller:  netip.MustParseAddrPort("127.0.0.9:4000"),
-		Address: netip.MustParseAddrPort("127.0.1.1:443"),
+		Kind: Forward,
+		Flow: flow.Packet{
+			Hops: 3, Service: 7, Target: 11, Informed: true,
+			Ballot: flow.Ballot{Version: view.Version{Epoch: 2, Number: 9}},
+			Tuple: flow.Tuple{
+				Caller:  netip.MustParseAddrPort("127.0.0.9:4000"),
+				Service: netip.MustParseAddrPort("127.0.1.1:443"),
+			},
+		},
 		ReplyTo: netip.MustParseAddrPort("127.0.0.2:7000"),
 	}
 }
 
 func TestEnvelopeRoundTrip(t *testing.T) {
-	short, prior, wide := header(), header(), header()
-	prior.Prior, prior.PriorIncarnation = netip.MustParseAddrPort("127.0.0.3:7001"), 5
-	wide.Caller = netip.MustParseAddrPort("[2001:db8::1]:4000")
-	wide.Prior, wide.PriorIncarnation = netip.MustParseAddrPort("127.0.0.3:7001"), 5
-	for name, h := range map[string]Header{"short": short, "prior": prior, "wide": wide} {
+	peer := func(i int) flow.Peer {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i)}), 7001)
+		return flow.Peer{Seed: uint64(i) << 40, Incarnation: view.Incarnation(i), Addr: addr}
+	}
+	short, prior, full := header(), header(), header()
+	prior.Flow.Priors[0] = peer(3)
+	full.Flow.Kind, full.Flow.Answer, full.Flow.Ballot.Retake = flow.Assign, true, true
+	full.Flow.Home, full.Flow.Rival = peer(4), peer(5)
+	for i := range full.Flow.Priors {
+		full.Flow.Priors[i] = peer(10 + i)
+	}
+	for i := range full.Flow.Denied {
+		full.Flow.Denied[i] = uint64(i + 1)
+	}
+	full.Flow.Denials = flow.MaxDenied
+	wide := full
+	wide.Flow.Tuple.Caller = netip.MustParseAddrPort("[2001:db8::1]:4000")
+	for name, h := range map[string]Header{"short": short, "prior": prior, "full": full, "wide": wide} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			keys := newRing()
@@ -61,6 +80,29 @@
 	}
 }
 
+// TestMaxPayload checks that the smallest path a QUIC connection needs fits.
+func TestMaxPayload(t *testing.T) {
+	is := is.New(t)
+	const quicDatagram = 1200
+	h := header()
+	is.True(h.MaxPayload(1500) >= quicDatagram)
+	h.Flow.Tuple.Caller = netip.MustParseAddrPort("[2001:db8::1]:4000")
+	is.True(h.MaxPayload(1500) >= quicDatagram)
+}
+
+// TestEarlierPicksThatHaveDeniedTravelNoFurther keeps relayed envelopes short.
+func TestEarlierPicksThatHaveDeniedTravelNoFurther(t *testing.T) {
+	is := is.New(t)
+	h := header()
+	h.Flow.Priors = flow.Priors{{Seed: 1, Incarnation: 1}, {Seed: 2, Incarnation: 1}}
+	h.Flow.Denied[0], h.Flow.Denials = 1, 1
+	b := h.append(nil, 1, 1, 1)
+	var got Header
+	is.True(got.parse(b) == len(b))
+	is.Equal(got.Flow.Priors[0].Seed, uint64(2))
+	is.True(got.Flow.Priors[1].IsZero())
+}
+
 func TestOpenRefuses(t *testing.T) {
 	keys := newRing()
 	h := header()
--- a/daemon/internal/proto/item.go
+++ b/daemon/internal/proto/item.go
@@ -33,9 +33,10 @@
 	return item(ServiceKey(s.Name), version, s)
 }
 
-// ViewItem encodes the view of the service of a given name.
-func ViewItem(name string, v *view.View) (spread.Item, error) {
-	return item(ViewKey(name), v.Version, v)
+// ViewItem encodes the view of the service of a given name. The item's version
+// orders it among all items; the view has a version of its own.
+func ViewItem(name string, version view.Version, v *view.View) (spread.Item, error) {
+	return item(ViewKey(name), version, v)
 }
 
 func item(key string, version view.Version, content any) (spread.Item, error) {
--- a/daemon/internal/proto/proto.go
+++ b/daemon/internal/proto/proto.go
@@ -27,6 +27,9 @@
 	Reason string `cbor:"2,keyasint,omitempty"`
 	// Lease is how long the announcement holds without a renewal.
 	Lease time.Duration `cbor:"3,keyasint"`
+	// Loads are the flows owned by agents of the service, the announcing one
+	// included.
+	Loads []view.Load `cbor:"4,keyasint,omitempty"`
 }
 
 // Mode is how a service is balanced.
--- a/daemon/internal/role/agent/agent.go
+++ b/daemon/internal/role/agent/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,6 +65,7 @@
 type Agent struct {
 	options   Options
 	flows     flows
+	owner     owner
 	paths     *flow.ReturnPaths
 	stats     Stats
 	service   atomic.Uint32
@@ -99,6 +101,7 @@
 		left:      make(chan struct{}),
 	}
 	a.flows.init()
+	a.owner = newOwner(o, envelopes.Addr())
 	a.server, err = peer.Listen(peer.ServerOptions{
 		Addr:     o.Requests,
 		TLS:      o.ServerTLS,
@@ -112,6 +115,7 @@
 	}
 	a.tasks.Go(a.readEnvelopes)
 	a.tasks.Go(func() { a.sweep(ctx) })
+	a.tasks.Go(func() { a.push(ctx) })
 	a.tasks.Go(func() { a.announce(ctx) })
 	a.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
@@ -163,11 +167,20 @@
 	return err
 }
 
-// adopt notes the ID of the agent's own service.
+// adopt puts the agent's own service and its view in force.
 func (a *Agent) adopt(u proto.Update) {
 	for _, s := range u.Services {
 		if s.Name == a.options.Service {
 			a.service.Store(uint32(s.ID))
+			a.owner.setService(s.ID, s.Addresses)
+		}
+	}
+	if slices.Contains(u.Removed, a.options.Service) {
+		a.owner.setService(view.ServiceID(a.service.Load()), nil)
+	}
+	for _, v := range u.Views {
+		if a.owner.setView(v) {
+			a.options.Log.Info("Adopted a view.", zap.Stringer("version", v.Version), zap.Int("members", len(v.Members)))
 		}
 	}
 }
--- a/daemon/internal/role/agent/announce.go
+++ b/daemon/internal/role/agent/announce.go
@@ -54,6 +54,7 @@
 		if err := s.Recv(&reply); err != nil {
 			return err
 		}
+		a.owner.flows.SetLoads(reply.Loads)
 		if announcement.Draining && reply.Accepted {
 			a.leftOnce.Do(func() { close(a.left) })
 		}
@@ -67,6 +68,10 @@
 }
 
 func (a *Agent) announcement(sequence uint64) view.Announcement {
+	var holds view.Version
+	if v := a.owner.flows.View(); v != nil && a.service.Load() != 0 {
+		holds = v.Version
+	}
 	return view.Announcement{
 		Service:     a.options.Service,
 		ID:          a.options.ID,
@@ -78,5 +83,7 @@
 		Healthy:     true,
 		Draining:    a.draining.Load(),
 		Sequence:    sequence,
+		Holds:       holds,
+		Flows:       uint32(a.owner.flows.Flows()),
 	}
 }
--- a/daemon/internal/role/agent/dump.go
+++ b/daemon/internal/role/agent/dump.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 
+	"fulmarmount.org/core/flow"
+	"fulmarmount.org/core/locator"
 	"fulmarmount.org/core/view"
 )
 
@@ -15,8 +17,29 @@
 	Packets     netip.AddrPort   `json:"packets"`
 	Requests    netip.AddrPort   `json:"requests"`
 	Backend     netip.AddrPort   `json:"backend"`
-	Flows       int              `json:"flows"`
-	Counters    Counters         `json:"counters"`
+	// Flows is the number of sockets to the backend server.
+	Flows int `json:"flows"`
+	// View is the newest view adopted, Draining whether the agent asks to leave.
+	View     view.Version `json:"view"`
+	Draining bool         `json:"draining"`
+	// Holdings are the flows known here by owner: those owned here first, then
+	// those known to be owned by others.
+	Holdings []Holding `json:"holdings"`
+	// Unacknowledged is the number of pointers to flows owned here whose
+	// receipt is not known yet.
+	Unacknowledged int `json:"unacknowledged_pointers"`
+	// Decisions count what the flow table decided, Pushes what was pushed.
+	Decisions flow.Stats    `json:"decisions"`
+	Pushes    locator.Stats `json:"pushes"`
+	Counters  Counters      `json:"counters"`
+}
+
+// Holding is the number of flows of one owner.
+type Holding struct {
+	// Owner is the backend server's ID, or the agent's address where the view
+	// in force does not hold it.
+	Owner string `json:"owner"`
+	Flows int    `json:"flows"`
 }
 
 // Counters are the values of Stats and the open tunnels at one time.
@@ -25,12 +48,16 @@
 	Replied   uint64 `json:"replied"`
 	Refused   uint64 `json:"refused"`
 	Failed    uint64 `json:"failed"`
-	Tunnels   int64  `json:"tunnels"`
+	Relayed   uint64 `json:"relayed"`
+
+	ControlSent  uint64 `json:"control_sent"`
+	ControlBytes uint64 `json:"control_bytes"`
+	Tunnels      int64  `json:"tunnels"`
 }
 
 // Dump returns the agent's state.
 func (a *Agent) Dump() any {
-	return Dump{
+	d := Dump{
 		ID:          a.options.ID,
 		Service:     a.options.Service,
 		ServiceID:   view.ServiceID(a.service.Load()),
@@ -40,7 +67,35 @@
 		Backend:     a.options.Backend,
 		Flows:       a.flows.count(),
 		Counters:    a.counters(),
+
+		Draining:       a.draining.Load(),
+		Holdings:       a.owner.holdings(a.options.ID),
+		Unacknowledged: a.owner.pusher.Unacknowledged(),
+		Decisions:      a.owner.flows.Stats(),
+		Pushes:         a.owner.pusher.Stats(),
+	}
+	if v := a.owner.flows.View(); v != nil {
+		d.View = v.Version
 	}
+	return d
+}
+
+// holdings names the owners of the flows known here.
+func (o *owner) holdings(self string) []Holding {
+	v := o.flows.View()
+	var out []Holding
+	for _, h := range o.flows.Holdings() {
+		name := h.Owner.Addr.String()
+		if h.Owner.Seed == o.self.Seed {
+			name = self
+		} else if v != nil {
+			if i := v.FindSeed(h.Owner.Seed); i >= 0 {
+				name = v.Members[i].ID
+			}
+		}
+		out = append(out, Holding{Owner: name, Flows: h.Flows})
+	}
+	return out
 }
 
 // Counters returns the packet counters.
@@ -52,6 +107,11 @@
 		Replied:   a.stats.Replied.Load(),
 		Refused:   a.stats.Refused.Load(),
 		Failed:    a.stats.Failed.Load(),
-		Tunnels:   a.tunnels.Load(),
+		Relayed:   a.stats.Relayed.Load(),
+
+		ControlSent:  a.stats.ControlSent.Load(),
+		ControlBytes: a.stats.ControlBytes.Load(),
+
+		Tunnels: a.tunnels.Load(),
 	}
 }
--- a/daemon/internal/role/agent/flows.go
+++ b/daemon/internal/role/agent/flows.go
@@ -25,6 +25,7 @@
 // ownedFlow is one flow's connected socket to the backend server.
 type ownedFlow struct {
 	tuple flow.Tuple
+	id    flow.ID
 	conn  *net.UDPConn
 	seen  atomic.Int64 // Unix time in nanoseconds of the last packet either way
 
@@ -75,13 +76,15 @@
 	return o.last
 }
 
-// expire closes the flows that have been idle since before the limit.
-func (f *flows) expire(limit time.Time) {
+// expire closes the flows that have been idle since before the limit and calls
+// ended with each.
+func (f *flows) expire(limit time.Time, ended func(flow.ID)) {
 	for i := range f.shards {
 		s := &f.shards[i]
 		s.mu.Lock()
 		for tuple, o := range s.flows {
 			if o.seen.Load() < limit.UnixNano() {
+				ended(o.id)
 				_ = o.conn.Close()
 				delete(s.flows, tuple)
 			}
--- a/daemon/internal/role/agent/packets.go
+++ b/daemon/internal/role/agent/packets.go
@@ -19,6 +19,10 @@
 	Replied   atomic.Uint64 // sent to a balancer
 	Refused   atomic.Uint64 // envelopes that were forged, replayed or not for here
 	Failed    atomic.Uint64 // a socket did not take the packet
+	Relayed   atomic.Uint64 // sent on to another agent
+
+	ControlSent  atomic.Uint64 // messages about flow ownership to other agents
+	ControlBytes atomic.Uint64 // bytes of them, envelopes included
 }
 
 const (
@@ -28,9 +32,10 @@
 	sweepInterval = time.Second
 )
 
-// readEnvelopes delivers the packets of balancers.
+// readEnvelopes takes the envelopes of balancers and other agents.
 func (a *Agent) readEnvelopes() {
 	buf := make([]byte, readBuffer)
+	out := make([]byte, 0, readBuffer)
 	var header packet.Header
 	for {
 		n, _, _, err := a.envelopes.Read(buf)
@@ -38,24 +43,54 @@
 			return
 		}
 		payload, err := a.opener.Open(buf[:n], &header)
-		if err != nil || !a.accepts(&header) {
+		if err != nil {
 			a.stats.Refused.Add(1)
 			continue
 		}
-		a.deliver(&header, payload)
+		switch header.Kind {
+		case packet.Forward:
+			a.receive(&header, payload, out)
+		case packet.Control:
+			a.receiveOwnership(&header, payload)
+		default:
+			a.stats.Refused.Add(1)
+		}
 	}
 }
 
 // accepts reports whether an envelope is meant for this run of this service.
 func (a *Agent) accepts(h *packet.Header) bool {
-	return h.Kind == packet.Forward &&
-		h.Incarnation == a.options.Incarnation &&
-		h.Service == view.ServiceID(a.service.Load())
+	return h.Flow.Target == a.options.Incarnation && h.Flow.Service == view.ServiceID(a.service.Load())
+}
+
+// receive delivers a caller's datagram or relays it to the agent that may own
+// its flow.
+func (a *Agent) receive(h *packet.Header, payload, out []byte) {
+	switch action := a.owner.receive(&h.Flow); action.Verdict {
+	case flow.Deliver:
+		a.deliver(h, payload)
+	case flow.Relay:
+		a.relay(action.To, h, payload, out)
+	default:
+		a.stats.Refused.Add(1)
+	}
+}
+
+func (a *Agent) relay(to flow.Peer, h *packet.Header, payload, out []byte) {
+	sealed, err := a.sealer.Seal(out, h, payload)
+	if err == nil {
+		err = a.envelopes.Write(sealed, to.Addr)
+	}
+	if err != nil {
+		a.stats.Failed.Add(1)
+		return
+	}
+	a.stats.Relayed.Add(1)
 }
 
 // deliver sends one datagram to the backend server.
 func (a *Agent) deliver(h *packet.Header, payload []byte) {
-	tuple := flow.Tuple{Caller: h.Caller, Service: h.Address}
+	tuple := h.Flow.Tuple
 	o, opened, err := a.flows.get(tuple, func() (*ownedFlow, error) { return a.dial(tuple) })
 	if err != nil {
 		a.stats.Failed.Add(1)
@@ -65,7 +100,7 @@
 	o.received(now, h.ReplyTo)
 	a.paths.Heard(h.ReplyTo, now)
 	if opened {
-		service := h.Service
+		service := h.Flow.Service
 		a.tasks.Go(func() { a.readBackend(o, service) })
 	}
 	if _, err := o.conn.Write(payload); err != nil {
@@ -80,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &ownedFlow{tuple: tuple, conn: conn}, nil
+	return &ownedFlow{tuple: tuple, id: tuple.ID(), conn: conn}, nil
 }
 
 // readBackend sends one flow's replies back until its socket is closed.
@@ -104,15 +139,13 @@
 func (a *Agent) reply(o *ownedFlow, service view.ServiceID, payload, out []byte) {
 	now := a.options.Now()
 	o.seen.Store(now.UnixNano())
+	a.owner.flows.Touch(a.owner.elapsed(), o.id)
 	last := o.lastInbound()
 	replyTo := a.paths.Choose(last.replyTo, last.at, now)
 	header := packet.Header{
-		Kind:        packet.Reply,
-		Service:     service,
-		Incarnation: a.options.Incarnation,
-		Caller:      o.tuple.Caller,
-		Address:     o.tuple.Service,
-		ReplyTo:     replyTo,
+		Kind:    packet.Reply,
+		ReplyTo: replyTo,
+		Flow:    flow.Packet{Service: service, Target: a.options.Incarnation, Tuple: o.tuple},
 	}
 	sealed, err := a.sealer.Seal(out, &header, payload)
 	if err != nil {
@@ -136,7 +169,7 @@
 			return
 		case <-ticker.C:
 			now := a.options.Now()
-			a.flows.expire(now.Add(-a.options.IdleTimeout))
+			a.flows.expire(now.Add(-a.options.IdleTimeout), a.owner.flows.End)
 			a.paths.Expire(now)
 		}
 	}
--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -49,13 +49,11 @@
 	Log *zap.Logger
 }
 
-// ipUDPOverhead is the length of an IPv4 and a UDP header in bytes.
-const ipUDPOverhead = 28
-
 // Balancer is one running balancer.
 type Balancer struct {
 	options   Options
 	table     table
+	forwarder forwarder
 	stats     Stats
 	sealer    *packet.Sealer
 	opener    *packet.Opener
@@ -91,6 +89,7 @@
 	b := &Balancer{
 		options:   o,
 		table:     newTable(),
+		forwarder: newForwarder(o.Now),
 		sealer:    packet.NewSealer(o.Keys, o.Session),
 		opener:    packet.NewOpener(o.Keys, o.Now),
 		envelopes: envelopes,
@@ -99,6 +98,7 @@
 		listeners: make(map[listenKey]listener),
 	}
 	b.tasks.Go(b.readEnvelopes)
+	b.tasks.Go(func() { b.forwarder.run(ctx) })
 	b.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
 			Name:    o.Name,
@@ -160,6 +160,7 @@
 // adopt puts an update in force.
 func (b *Balancer) adopt(u proto.Update) {
 	services := b.table.adopt(u)
+	b.forwarder.adopt(services, u.Views)
 	if len(u.Services) > 0 || len(u.Removed) > 0 {
 		b.reconcile(services)
 	}
--- a/daemon/internal/role/balancer/bench_test.go
+++ b/daemon/internal/role/balancer/bench_test.go
@@ -47,15 +47,17 @@
 	lb := &Balancer{
 		options:   Options{MTU: 1500, Log: zap.NewNop()},
 		table:     newTable(),
+		forwarder: newForwarder(time.Now),
 		sealer:    packet.NewSealer(&benchKeys{}, 1),
 		opener:    packet.NewOpener(&benchKeys{}, time.Now),
 		envelopes: listenLoopback(b),
 		listeners: make(map[listenKey]listener),
 	}
-	lb.table.adopt(proto.Update{
+	update := proto.Update{
 		Services: []proto.Service{{ID: 1, Name: "bench", Mode: proto.ModePacket, Addresses: []netip.AddrPort{service.Addr()}}},
 		Views:    []*view.View{view.New(1, view.Version{Epoch: 1, Number: 1}, members)},
-	})
+	}
+	lb.forwarder.adopt(lb.table.adopt(update), update.Views)
 	return lb
 }
 
--- a/daemon/internal/role/balancer/packets.go
+++ b/daemon/internal/role/balancer/packets.go
@@ -51,30 +51,22 @@
 
 // forward sends one datagram to the agent that its flow is placed on.
 func (b *Balancer) forward(tuple flow.Tuple, payload, out []byte) {
-	t, ok := b.table.pick(tuple)
-	if !ok {
+	d, err := b.forwarder.Forward(tuple)
+	if err != nil {
 		b.stats.Unplaced.Add(1)
 		return
 	}
-	header := packet.Header{
-		Kind:        packet.Forward,
-		Service:     t.service,
-		View:        t.view,
-		Incarnation: t.member.Incarnation,
-		Caller:      tuple.Caller,
-		Address:     tuple.Service,
-		ReplyTo:     b.envelopes.Addr(),
+	header := packet.Header{Kind: packet.Forward, ReplyTo: b.envelopes.Addr(), Flow: d.Packet(tuple)}
+	if len(payload) > header.MaxPayload(b.options.MTU) {
+		b.stats.Oversize.Add(1)
+		return
 	}
 	sealed, err := b.sealer.Seal(out, &header, payload)
 	if err != nil {
 		b.stats.Failed.Add(1)
 		return
 	}
-	if len(sealed)+ipUDPOverhead > b.options.MTU {
-		b.stats.Oversize.Add(1)
-		return
-	}
-	if err := b.envelopes.Write(sealed, t.member.Packets); err != nil {
+	if err := b.envelopes.Write(sealed, d.Target.Addr); err != nil {
 		b.stats.Failed.Add(1)
 		return
 	}
@@ -102,14 +94,14 @@
 // reply sends one datagram to its caller from the service address.
 func (b *Balancer) reply(h *packet.Header, payload []byte) {
 	b.mu.Lock()
-	l := b.listeners[b.listenKey(proto.ModePacket, h.Address)]
+	l := b.listeners[b.listenKey(proto.ModePacket, h.Flow.Tuple.Service)]
 	b.mu.Unlock()
 	conn, ok := l.(*udp.Conn)
 	if !ok {
 		b.stats.Unplaced.Add(1)
 		return
 	}
-	if err := conn.WriteFrom(payload, h.Address.Addr(), h.Caller); err != nil {
+	if err := conn.WriteFrom(payload, h.Flow.Tuple.Service.Addr(), h.Flow.Tuple.Caller); err != nil {
 		b.stats.Failed.Add(1)
 		return
 	}
--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/keys"
@@ -34,10 +35,13 @@
 }
 
 const (
-	// lease is how long an announcement holds.
-	lease = 3 * time.Second
-	// sweepInterval is how often expired leases are looked for.
-	sweepInterval = 500 * time.Millisecond
+	// leaseTime is how long an announcement holds.
+	leaseTime = 3 * time.Second
+	// tickInterval is how often the registry is looked at: for ended leases,
+	// rising weights and views to publish.
+	tickInterval = 100 * time.Millisecond
+	// maxLoads is the number of loads in the answer to one announcement.
+	maxLoads = 64
 )
 
 // Control is one running control process.
@@ -50,14 +54,8 @@
 
 	mu       sync.Mutex
 	services []proto.Service
-	members  map[string]member
-	views    map[view.ServiceID]*view.View
-}
-
-// member is an announced backend server.
-type member struct {
-	announcement view.Announcement
-	expires      time.Time
+	registry *lease.Registry
+	started  time.Time
 }
 
 // Start opens the socket and serves daemons until Close.
@@ -71,9 +69,10 @@
 		options:   o,
 		cancel:    cancel,
 		publisher: publisher,
-		members:   make(map[string]member),
-		views:     make(map[view.ServiceID]*view.View),
+		registry:  lease.NewRegistry(lease.Options{Lease: leaseTime}),
+		started:   o.Now(),
 	}
+	c.registry.Lead(0, o.Epoch, nil)
 	server, err := peer.Listen(peer.ServerOptions{
 		Addr: o.Listen,
 		TLS:  o.TLS,
@@ -89,7 +88,7 @@
 	}
 	c.server = server
 	go publisher.Run(ctx)
-	go c.sweep(ctx)
+	go c.run(ctx)
 	return c, nil
 }
 
@@ -117,13 +116,19 @@
 	c.services = services
 	for _, s := range services {
 		c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ServiceItem(s, at) }))
-		c.publish(s)
 	}
 }
 
+// SetDrained replaces the set of backend servers that operators have drained.
+func (c *Control) SetDrained(ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registry.SetDrained(ids)
+}
+
 // remove deletes a service and its view. The caller holds the lock.
 func (c *Control) remove(s proto.Service) {
-	delete(c.views, s.ID)
+	c.registry.RemoveService(s.ID)
 	c.check(c.publisher.Delete(proto.ServiceKey(s.Name)))
 	c.check(c.publisher.Delete(proto.ViewKey(s.Name)))
 }
@@ -157,34 +162,16 @@
 	defer c.mu.Unlock()
 	service, ok := c.service(a.Service)
 	if !ok {
-		return proto.AnnounceReply{Reason: "no such service", Lease: lease}
+		return proto.AnnounceReply{Reason: "no such service", Lease: leaseTime}
 	}
-	known, exists := c.members[a.ID]
-	if exists && older(a, known.announcement) {
-		return proto.AnnounceReply{Reason: "a newer announcement is known", Lease: lease}
+	now := c.elapsed()
+	if err := c.registry.Announce(now, service.ID, a); err != nil {
+		return proto.AnnounceReply{Reason: err.Error(), Lease: leaseTime}
 	}
-	c.members[a.ID] = member{announcement: a, expires: c.options.Now().Add(lease)}
-	if !exists || !sameMember(known.announcement, a) {
-		c.options.Log.Info("Took an announcement.", zap.String("id", a.ID), zap.String("service", a.Service))
-		c.publish(service)
-	}
-	return proto.AnnounceReply{Accepted: true, Lease: lease}
-}
-
-// older reports whether a is a replay or of an earlier run than known.
-func older(a, known view.Announcement) bool {
-	if a.Incarnation != known.Incarnation {
-		return a.Incarnation < known.Incarnation
-	}
-	return a.Sequence <= known.Sequence
+	return proto.AnnounceReply{Accepted: true, Lease: leaseTime, Loads: c.registry.Loads(now, service.ID, a.ID, maxLoads)}
 }
 
-// sameMember reports whether both announcements lead to the same view.
-func sameMember(a, b view.Announcement) bool {
-	return a.Service == b.Service && a.Incarnation == b.Incarnation &&
-		a.Packets == b.Packets && a.Requests == b.Requests &&
-		a.Draining == b.Draining && a.Healthy == b.Healthy && a.Slots == b.Slots
-}
+func (c *Control) elapsed() time.Duration { return c.options.Now().Sub(c.started) }
 
 func (c *Control) service(name string) (proto.Service, bool) {
 	for _, s := range c.services {
@@ -195,58 +182,36 @@
 	return proto.Service{}, false
 }
 
-// publish numbers a new view of a service. The caller holds the lock.
-func (c *Control) publish(s proto.Service) {
-	var members []view.BackendServer
-	for _, m := range c.members {
-		if m.announcement.Service == s.Name {
-			members = append(members, backendServer(m.announcement))
-		}
-	}
-	c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) {
-		v := view.New(s.ID, at, members)
-		c.views[s.ID] = v
-		return proto.ViewItem(s.Name, v)
-	}))
-}
-
-func backendServer(a view.Announcement) view.BackendServer {
-	b := view.BackendServer{
-		ID: a.ID, Zone: a.Zone, Incarnation: a.Incarnation,
-		Packets: a.Packets, Requests: a.Requests, Slots: a.Slots,
-		State: view.Ready, Weight: view.FullWeight,
-	}
-	if a.Draining || !a.Healthy {
-		b.State, b.Weight = view.Draining, 0
-	}
-	return b
-}
-
-// sweep removes members whose lease has ended.
-func (c *Control) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
+// run publishes the registry's views until ctx ends.
+func (c *Control) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			c.expire(c.options.Now())
+			c.tick()
 		}
 	}
 }
 
-func (c *Control) expire(now time.Time) {
+func (c *Control) tick() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, m := range c.members {
-		if now.Before(m.expires) {
-			continue
-		}
-		delete(c.members, id)
-		c.options.Log.Warn("A lease ended.", zap.String("id", id))
-		if s, ok := c.service(m.announcement.Service); ok {
-			c.publish(s)
-		}
+	for _, v := range c.registry.Tick(c.elapsed()) {
+		c.publish(v)
+	}
+}
+
+// publish hands a view to the subscribers. The caller holds the lock.
+func (c *Control) publish(v *view.View) {
+	i := slices.IndexFunc(c.services, func(s proto.Service) bool { return s.ID == v.Service })
+	if i < 0 {
+		return
 	}
+	name := c.services[i].Name
+	c.options.Log.Info("Published a view.", zap.String("service", name),
+		zap.Stringer("version", v.Version), zap.Int("members", len(v.Members)))
+	c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ViewItem(name, at, v) }))
 }
--- a/daemon/internal/role/control/dump.go
+++ b/daemon/internal/role/control/dump.go
@@ -1,10 +1,9 @@
 package control
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 
+	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/proto"
 )
@@ -14,30 +13,40 @@
 	Listen   netip.AddrPort  `json:"listen"`
 	Version  view.Version    `json:"version"`
 	Services []proto.Service `json:"services"`
-	Views    []*view.View    `json:"views"`
+	// BackendServers are the members of all services, with what keeps them from
+	// new flows.
+	BackendServers []lease.Status `json:"backend_servers"`
 }
 
 // Dump returns the state of the process.
 func (c *Control) Dump() any {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Dump{
-		Listen:   c.server.Addr(),
-		Version:  c.publisher.Position(),
-		Services: c.services,
-		Views:    slices.Collect(maps.Values(c.views)),
+	d := Dump{Listen: c.server.Addr(), Version: c.publisher.Position(), Services: c.services}
+	for _, s := range c.services {
+		d.BackendServers = append(d.BackendServers, c.registry.Status(c.elapsed(), s.ID)...)
 	}
+	return d
 }
 
-// Counters are the sizes of what a control process holds.
+// Counters count the leases and views of a control process.
 type Counters struct {
-	Members int `json:"members"`
-	Views   int `json:"views"`
+	Members       int    `json:"members"`
+	Announcements uint64 `json:"announcements"`
+	Replayed      uint64 `json:"replayed"`
+	Invalid       uint64 `json:"invalid"`
+	Lapses        uint64 `json:"lapses"`
+	Spared        uint64 `json:"spared"`
+	Views         uint64 `json:"views"`
 }
 
-// Counters returns the sizes of what the process holds.
+// Counters returns the counts since the start of the process.
 func (c *Control) Counters() any {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Counters{Members: len(c.members), Views: len(c.views)}
+	s := c.registry.Stats()
+	return Counters{
+		Members: s.Members, Announcements: s.Announcements, Replayed: s.Replayed, Invalid: s.Invalid,
+		Lapses: s.Lapses, Spared: s.Spared, Views: s.Views,
+	}
 }
