--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -186,6 +186,7 @@
 		{"one is reported failing", 4, func(f *fleet) { f.agents[1].Healthy = false }, 6 * second, "ready:100/ready:0/ready:100/ready:100"},
 		{"a drained one falls silent", 2, func(f *fleet) { f.r.SetDrained([]string{"host-0"}); silence(f, 0) }, 6 * second, "gone:0/ready:100"},
 		{"all are drained", 2, func(f *fleet) { f.r.SetDrained([]string{"host-0", "host-1"}) }, 6 * second, "draining:0/draining:0"},
+		{"a weight is set", 2, func(f *fleet) { f.r.SetWeights(map[string]uint32{"host-1": 40}) }, second, "ready:100/ready:40"},
 		{"an agent asks to leave", 2, func(f *fleet) { f.agents[0].Draining = true }, 6 * second, "draining:0/ready:100"},
 		{"one flaps", 3, func(f *fleet) {
 			for range 5 {
--- a/core/lease/publish.go
+++ b/core/lease/publish.go
@@ -140,9 +140,9 @@
 	case excluded:
 		return m.phase, 0
 	case m.phase == view.Warming && r.othersReady(s, m):
-		return view.Warming, r.warmWeight(now - m.since)
+		return view.Warming, r.warmWeight(m.id, now-m.since)
 	}
-	return m.phase, view.FullWeight
+	return m.phase, r.fullWeight(m.id)
 }
 
 // othersReady reports whether the service has members at full weight, beside
@@ -157,10 +157,10 @@
 }
 
 // warmWeight returns the weight of a member that has been warming for d.
-func (r *Registry) warmWeight(d time.Duration) uint32 {
+func (r *Registry) warmWeight(id string, d time.Duration) uint32 {
 	steps := time.Duration(r.options.WarmSteps)
 	step := min(d*steps/r.options.WarmFor+1, steps)
-	return uint32(view.FullWeight * step / (steps + 1))
+	return max(1, r.fullWeight(id)*uint32(step)/uint32(steps+1))
 }
 
 // differs reports whether a view's member has to be published anew.
--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -27,6 +28,7 @@
 	services map[view.ServiceID]*service
 	order    []view.ServiceID // keys of services, sorted
 	drained  map[string]bool
+	weights  map[string]uint32
 	epoch    uint64
 	number   uint64
 	collects time.Duration // the end of the time for collecting announcements
@@ -214,6 +216,24 @@
 	}
 }
 
+// SetWeights replaces the weights, relative to view.FullWeight, of backend
+// servers whose capacity differs from the default. A weight of 0 counts as none
+// set.
+func (r *Registry) SetWeights(weights map[string]uint32) {
+	r.weights = maps.Clone(weights)
+	for _, s := range r.services {
+		s.dirty = true
+	}
+}
+
+// fullWeight returns the weight of a ready member.
+func (r *Registry) fullWeight(id string) uint32 {
+	if w := r.weights[id]; w > 0 {
+		return w
+	}
+	return view.FullWeight
+}
+
 // Remove forgets a backend server, for an operator who knows that it will not
 // return. The error is of type ErrUnknown.
 func (r *Registry) Remove(id string) error {
--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -164,11 +164,11 @@
 func waitForMembers(t *testing.T, first, second *balancer.Balancer, want int) {
 	t.Helper()
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		if first.Members(1) == want && second.Members(1) == want {
+		if first.Available(1) == want && second.Available(1) == want {
 			return
 		}
 	}
-	t.Fatalf("balancers know %d and %d of %d members", first.Members(1), second.Members(1), want)
+	t.Fatalf("balancers know %d and %d of %d backend servers that take flows", first.Available(1), second.Available(1), want)
 }
 
 func TestCatalogueOverHTTP3SurvivesTheLossOfABalancer(t *testing.T) {
--- a/daemon/internal/role/agent/dump.go
+++ b/daemon/internal/role/agent/dump.go
@@ -98,6 +98,9 @@
 	return out
 }
 
+// Flows returns the number of flows owned.
+func (a *Agent) Flows() int { return a.owner.flows.Flows() }
+
 // Counters returns the packet counters.
 func (a *Agent) Counters() any { return a.counters() }
 
--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -126,6 +126,14 @@
 	c.registry.SetDrained(ids)
 }
 
+// SetWeights replaces the weights, relative to view.FullWeight, of backend
+// servers whose capacity differs from the default.
+func (c *Control) SetWeights(weights map[string]uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registry.SetWeights(weights)
+}
+
 // remove deletes a service and its view. The caller holds the lock.
 func (c *Control) remove(s proto.Service) {
 	c.registry.RemoveService(s.ID)
--- a/daemon/tools/capacity/content.go
+++ b/daemon/tools/capacity/content.go
@@ -53,7 +53,7 @@
 }
 
 func viewItem(i int, at view.Version) spread.Item {
-	it, err := proto.ViewItem(serviceName(i), serviceView(i, hostsPerService, at))
+	it, err := proto.ViewItem(serviceName(i), at, serviceView(i, hostsPerService, at))
 	must(err)
 	return it
 }
--- a/daemon/tools/capacity/measure_control.go
+++ b/daemon/tools/capacity/measure_control.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"fulmarmount.org/core/admission"
+	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/quorum"
 	"fulmarmount.org/daemon/internal/disk"
 	"fulmarmount.org/daemon/internal/keys"
@@ -162,7 +163,7 @@
 		t := tuple(1, 1)
 		var header packet.Header
 		s.Points = append(s.Points, Point{float64(size), nsPerOp(func(int) {
-			sealed, err := sealer.Seal(out, &packet.Header{Kind: packet.Forward, Service: 1, Caller: t.Caller, Address: t.Service, ReplyTo: t.Service}, payload)
+			sealed, err := sealer.Seal(out, &packet.Header{Kind: packet.Forward, ReplyTo: t.Service, Flow: flow.Packet{Service: 1, Tuple: t}}, payload)
 			must(err)
 			_, err = opener.Open(sealed, &header)
 			must(err)
