Keep a key's time in milliseconds

Encoded as time.Time the time of an Idempotency-Key lost its fraction of a second on the wire, so a home that had just started took new keys for keys from before its start and answered that holders were unavailable. The time is now an integer of milliseconds, as in the UUID itself.

--- a/core/attempt/claim.go
+++ b/core/attempt/claim.go
@@ -22,6 +22,16 @@
 	ClaimInvalid                        // made in the future
 )
 
+// Millis is a time in milliseconds since the Unix epoch, as a UUID of version 7
+// holds it.
+type Millis int64
+
+// MillisOf returns t in milliseconds.
+func MillisOf(t time.Time) Millis { return Millis(t.UnixMilli()) }
+
+// Time returns m as a time.Time.
+func (m Millis) Time() time.Time { return time.UnixMilli(int64(m)) }
+
 // Holder is the attempt that may run for a key, and where.
 type Holder struct {
 	ID     ID     `cbor:"1,keyasint"`
@@ -32,8 +42,8 @@
 type Entry struct {
 	Key string `cbor:"1,keyasint"`
 	// Made is the time within the key.
-	Made   time.Time `cbor:"2,keyasint"`
-	Digest Digest    `cbor:"3,keyasint"`
+	Made   Millis `cbor:"2,keyasint"`
+	Digest Digest `cbor:"3,keyasint"`
 	// Holder is zero if no attempt holds the key.
 	Holder Holder `cbor:"4,keyasint"`
 	// Version is the view under which the home made the last change.
@@ -59,7 +69,7 @@
 // back every send that a gateway received before now.
 type ClaimRequest struct {
 	Key      string        `cbor:"1,keyasint"`
-	Made     time.Time     `cbor:"2,keyasint"`
+	Made     Millis        `cbor:"2,keyasint"`
 	Digest   Digest        `cbor:"3,keyasint"`
 	Holder   Holder        `cbor:"4,keyasint"`
 	Replaces ID            `cbor:"5,keyasint"`
@@ -92,7 +102,7 @@
 	Version view.Version `cbor:"1,keyasint"`
 	To      Target       `cbor:"2,keyasint"`
 	Key     string       `cbor:"3,keyasint"`
-	Made    time.Time    `cbor:"4,keyasint"`
+	Made    Millis       `cbor:"4,keyasint"`
 }
 
 // LookupReply answers a LookupRequest.
@@ -269,13 +279,15 @@
 }
 
 // old reports whether a key made at that time is refused.
-func (c *Claims) old(now, made time.Time) bool { return now.Sub(made) > c.cfg.Lifetime }
+func (c *Claims) old(now time.Time, made Millis) bool { return now.Sub(made.Time()) > c.cfg.Lifetime }
 
 // forgotten reports whether entries of keys made at that time are no longer
 // kept. That is later than any agent's clock accepts the key.
-func (c *Claims) forgotten(now, made time.Time) bool { return c.old(now, made.Add(2*c.cfg.Skew)) }
+func (c *Claims) forgotten(now time.Time, made Millis) bool {
+	return now.Sub(made.Time()) > c.cfg.Lifetime+2*c.cfg.Skew
+}
 
-func (c *Claims) slot(key string, made time.Time) *slot {
+func (c *Claims) slot(key string, made Millis) *slot {
 	s := c.slots[key]
 	if s != nil {
 		return s
--- a/core/attempt/claim_test.go
+++ b/core/attempt/claim_test.go
@@ -75,8 +75,8 @@
 }
 
 func (c *cluster) claim(home string, in ClaimRequest) ClaimReply {
-	if in.Made.IsZero() {
-		in.Made = c.now
+	if in.Made == 0 {
+		in.Made = MillisOf(c.now)
 	}
 	h := c.claims[home]
 	c.perform(h, h.Claim(c.now, 1, in))
@@ -122,22 +122,22 @@
 		{"received before not run was said", func(c *cluster, home, _ string) ClaimReply {
 			c.claim(home, ClaimRequest{Key: "k", Refuse: true})
 			c.now = c.now.Add(time.Second)
-			return c.claim(home, ClaimRequest{Key: "k", Made: c.now.Add(-2 * time.Second), Holder: holder(2)})
+			return c.claim(home, ClaimRequest{Key: "k", Made: MillisOf(c.now.Add(-2 * time.Second)), Holder: holder(2)})
 		}, ClaimHeldBack},
 		{"received after not run was said", func(c *cluster, home, _ string) ClaimReply {
-			made := c.now
+			made := MillisOf(c.now)
 			c.claim(home, ClaimRequest{Key: "k", Refuse: true})
 			c.now = c.now.Add(GrantBound + time.Millisecond)
 			return c.claim(home, ClaimRequest{Key: "k", Made: made, Holder: holder(2)})
 		}, ClaimGranted},
 		{"too old", func(c *cluster, home, _ string) ClaimReply {
-			return c.claim(home, ClaimRequest{Key: "k", Made: c.now.Add(-2 * time.Hour)})
+			return c.claim(home, ClaimRequest{Key: "k", Made: MillisOf(c.now.Add(-2 * time.Hour))})
 		}, ClaimTooOld},
 		{"from the future", func(c *cluster, home, _ string) ClaimReply {
-			return c.claim(home, ClaimRequest{Key: "k", Made: c.now.Add(time.Minute)})
+			return c.claim(home, ClaimRequest{Key: "k", Made: MillisOf(c.now.Add(time.Minute))})
 		}, ClaimInvalid},
 		{"made before the home started", func(c *cluster, home, _ string) ClaimReply {
-			return c.claim(home, ClaimRequest{Key: "k", Made: t0})
+			return c.claim(home, ClaimRequest{Key: "k", Made: MillisOf(t0)})
 		}, ClaimUnavailable},
 	}
 	for _, tt := range tests {
@@ -164,7 +164,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			c := newCluster(4)
-			made := c.now
+			made := MillisOf(c.now)
 			home, second := c.pair("k")
 			is.Equal(c.claim(home, ClaimRequest{Key: "k", Holder: holder(1)}).Status, ClaimGranted)
 			c.down[home], c.down[second] = tt.home, tt.second
@@ -190,14 +190,14 @@
 	is := is.New(t)
 	c := newCluster(4)
 	home, second := c.pair("k")
-	in := ClaimRequest{Key: "k", Made: c.now, Holder: holder(1)}
+	in := ClaimRequest{Key: "k", Made: MillisOf(c.now), Holder: holder(1)}
 	older, newer := c.view.Version, view.Version{Epoch: 1, Number: 3}
 	look := func(at string) {
-		r := c.claims[at].Lookup(c.now, LookupRequest{Version: newer, To: Target{at, 1}, Key: "k", Made: c.now})
+		r := c.claims[at].Lookup(c.now, LookupRequest{Version: newer, To: Target{at, 1}, Key: "k", Made: MillisOf(c.now)})
 		is.True(r.Known && !r.Found)
 	}
 	look(second)
-	hold := HoldRequest{Version: older, To: Target{second, 1}, Entry: Entry{Key: "k", Made: c.now, Revision: 1}}
+	hold := HoldRequest{Version: older, To: Target{second, 1}, Entry: Entry{Key: "k", Made: MillisOf(c.now), Revision: 1}}
 	is.Equal(c.claims[second].Hold(c.now, hold), HoldReply{})
 	is.Equal(c.claim(home, in).Status, ClaimUnavailable)
 
@@ -234,7 +234,7 @@
 func TestRestartedHomeLearnsHistory(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(4)
-	made := c.now
+	made := MillisOf(c.now)
 	home, second := c.pair("k")
 	c.claim(home, ClaimRequest{Key: "k", Holder: holder(1)})
 	c.boot(home, 2)
@@ -282,7 +282,7 @@
 	c := newCluster(2)
 	home, _ := c.pair("k")
 	h := c.claims[home]
-	h.Claim(c.now, 1, ClaimRequest{Key: "k", Made: c.now, Holder: holder(1)}) // hold never answered
+	h.Claim(c.now, 1, ClaimRequest{Key: "k", Made: MillisOf(c.now), Holder: holder(1)}) // hold never answered
 	is.Equal(len(h.Tick(c.now)), 0)
 	is.Equal(h.Tick(c.now.Add(time.Second)), []ClaimAction{ReplyClaim{Conversation: 1}})
 }
--- a/core/attempt/claimop.go
+++ b/core/attempt/claimop.go
@@ -111,7 +111,7 @@
 	switch {
 	case c.old(now, in.Made):
 		return ClaimTooOld, true
-	case in.Made.Sub(now) > c.cfg.Skew:
+	case in.Made.Time().Sub(now) > c.cfg.Skew:
 		return ClaimInvalid, true
 	case c.now == nil || c.stale(now):
 		return ClaimUnavailable, true
@@ -144,8 +144,8 @@
 
 // retired reports whether no agent acts on e any longer when a key made at
 // that time is first used.
-func (c *Claims) retired(e superseded, made time.Time) bool {
-	return made.Add(-c.cfg.Skew).After(e.at.Add(c.cfg.Lag))
+func (c *Claims) retired(e superseded, made Millis) bool {
+	return made.Time().Add(-c.cfg.Skew).After(e.at.Add(c.cfg.Lag))
 }
 
 func (c *Claims) ask(o *op, t Target) {
@@ -202,7 +202,7 @@
 // lookedUp adopts what the earlier holders had. Where they had nothing, the
 // home must know every view of the key's life.
 func (c *Claims) lookedUp(now time.Time, o *op) {
-	covered := o.request.Made.Add(-c.cfg.Skew).After(c.since)
+	covered := o.request.Made.Time().Add(-c.cfg.Skew).After(c.since)
 	s := c.slot(o.request.Key, o.request.Made)
 	if s == nil || s.floor.Newer(o.version) {
 		c.endOp(now, o, ClaimReply{})
--- a/core/attempt/sim_test.go
+++ b/core/attempt/sim_test.go
@@ -295,7 +295,7 @@
 }
 
 func (r *simRequest) claim(stream uint32, in ClaimRequest) {
-	in.Key, in.Made = r.key, r.made
+	in.Key, in.Made = r.key, MillisOf(r.made)
 	s := r.s
 	if s.naive {
 		r.feed(Claimed{Stream: stream, Status: ClaimGranted})
