Carry HTTP requests between callers and backend servers

Gateways and agents had the decisions of core/attempt and core/admission but nothing that fed them.

Its agent part runs admission and the record, keeps answers of work that may not be repeated, and holds claims with other agents.

--- /dev/null
+++ b/daemon/internal/gateway/agent.go
@@ -0,0 +1,268 @@
+package gateway
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarmount.org/core/admission"
+	"fulmarmount.org/core/attempt"
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/peer"
+)
+
+// AgentOptions configure an Agent.
+type AgentOptions struct {
+	// Self is the backend server and this run of its agent.
+	Self attempt.Target
+	// Backend is the backend server's HTTP address.
+	Backend netip.AddrPort
+	// Slots is the number of requests the backend server runs at once.
+	Slots int
+	// Policy of the service.
+	Policy Policy
+	// SlowStart is the time in which a cold backend server comes to its slots.
+	SlowStart time.Duration
+	// ClockSkew bounds the difference between the clocks of callers and agents;
+	// zero stands for 5 s.
+	ClockSkew time.Duration
+	// Pool reaches the other agents of the service.
+	Pool *peer.Pool
+	// Now is the clock.
+	Now func() time.Time
+	Log *zap.Logger
+}
+
+// The bounds of an agent.
+const (
+	recordLifetime = 10 * time.Minute
+	maxAttempts    = 100_000
+	maxFences      = 100_000
+	maxAnswer      = 256 << 10 // bytes of one answer that is kept
+	maxAnswers     = 32 << 20  // bytes of all answers that are kept
+	maxClaims      = 200_000
+	defaultSkew    = 5 * time.Second
+	viewLag        = 30 * time.Second
+	holderAnswer   = 800 * time.Millisecond
+
+	// MaxBody is the size in bytes of the largest request body.
+	MaxBody = 1 << 20
+
+	agentQueue   = 64 // requests of a class that may wait at an agent
+	tickInterval = 20 * time.Millisecond
+	firstSlots   = 0.25 // part of the slots of a cold backend server
+)
+
+// Agent runs requests for gateways beside one backend server.
+type Agent struct {
+	o       AgentOptions
+	started time.Time
+	gate    *gate
+	backend *backend
+	claims  *claims
+	stats   AgentStats
+
+	mu     sync.Mutex
+	record *attempt.Record
+	// live are the repeatable attempts that are queued or run.
+	live map[attempt.ID]bool
+
+	// ctx ends what runs for no stream.
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+// AgentStats counts what an agent did.
+type AgentStats struct {
+	Runs, Shed, Fenced, Failed, Settled, Fetched expvar.Int
+}
+
+// NewAgent returns an agent that serves until Close.
+func NewAgent(o AgentOptions) *Agent {
+	if o.ClockSkew == 0 {
+		o.ClockSkew = defaultSkew
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &Agent{
+		o:       o,
+		started: o.Now(),
+		backend: newBackend(o.Backend),
+		live:    make(map[attempt.ID]bool),
+		ctx:     ctx,
+		cancel:  cancel,
+		record: attempt.NewRecord(attempt.RecordConfig{
+			Incarnation: o.Self.Incarnation,
+			Lifetime:    recordLifetime,
+			MaxAttempts: maxAttempts,
+			MaxFences:   maxFences,
+			MaxAnswer:   maxAnswer,
+			MaxBytes:    maxAnswers,
+		}),
+	}
+	ramp := a.ramp()
+	a.gate = newGate(o.Now, ramp.Slots(a.started, o.Slots), o.Policy.admissionClasses("", agentQueue))
+	a.claims = newClaims(ctx, o, &a.tasks)
+	a.tasks.Go(func() { a.tick(ctx) })
+	return a
+}
+
+func (a *Agent) ramp() admission.Ramp {
+	return admission.Ramp{Start: a.started, Duration: a.o.SlowStart, First: firstSlots}
+}
+
+// Close ends every request and what runs in the background. Call it before
+// the peer server's Close, which waits for the handlers.
+func (a *Agent) Close() {
+	a.cancel()
+	a.tasks.Wait()
+	a.backend.close()
+}
+
+// SetView adopts a view of the agent's service.
+func (a *Agent) SetView(v *view.View) { a.claims.setView(v) }
+
+// Confirm reports that the view in force was found to be current.
+func (a *Agent) Confirm() { a.claims.confirm() }
+
+// Busy reports whether requests run or wait.
+func (a *Agent) Busy() bool { return a.gate.load() > 0 }
+
+// Stats returns the agent's counters.
+func (a *Agent) Stats() *AgentStats { return &a.stats }
+
+// AgentState is the agent's part of a state dump.
+type AgentState struct {
+	Load        int `json:"load"`
+	Recorded    int `json:"recorded"`
+	AnswerBytes int `json:"answer_bytes"`
+	Claims      int `json:"claims"`
+}
+
+// State returns what the agent holds.
+func (a *Agent) State() AgentState {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return AgentState{
+		Load: a.gate.load(), Recorded: a.record.Len(), AnswerBytes: a.record.Bytes(), Claims: a.claims.len(),
+	}
+}
+
+// Handlers returns the handlers of the stream kinds that an agent serves.
+func (a *Agent) Handlers() map[string]peer.Handler {
+	gateways := []keys.Role{keys.Balancer, keys.Agent}
+	return map[string]peer.Handler{
+		KindRequest: allow(gateways, a.serveRequest),
+		KindSettle:  allow(gateways, a.serveSettle),
+		KindFetch:   allow(gateways, a.serveFetch),
+		KindProbe:   allow(gateways, a.serveProbe),
+		KindClaim:   allow(gateways, a.claims.serveClaim),
+		KindHold:    allow([]keys.Role{keys.Agent}, a.claims.serveHold),
+		KindLookup:  allow([]keys.Role{keys.Agent}, a.claims.serveLookup),
+		KindHistory: allow([]keys.Role{keys.Agent}, a.claims.serveHistory),
+	}
+}
+
+// allow refuses streams of peers without one of roles.
+func allow(roles []keys.Role, handle func(context.Context, *peer.Stream)) peer.Handler {
+	return func(ctx context.Context, from keys.Info, s *peer.Stream) {
+		if !from.Allows(roles...) {
+			s.Abort()
+			return
+		}
+		handle(ctx, s)
+	}
+}
+
+func (a *Agent) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		ramp := a.ramp()
+		a.gate.setSlots(ramp.Slots(a.o.Now(), a.o.Slots))
+		a.gate.tick()
+		a.claims.tick()
+	}
+}
+
+// serveRequest decides on one attempt and runs it.
+func (a *Agent) serveRequest(_ context.Context, s *peer.Stream) {
+	var open requestOpen
+	if err := s.Recv(&open); err != nil {
+		s.Abort()
+		return
+	}
+	deadline := a.o.Now().Add(open.Timeout)
+	_ = s.SetReadDeadline(time.Now().Add(open.Timeout))
+	body, err := io.ReadAll(io.LimitReader(s, MaxBody+1))
+	if err != nil || int64(len(body)) != open.Length {
+		s.Abort()
+		return
+	}
+	r := &run{a: a, s: s, open: open, body: body, deadline: deadline}
+	r.serve()
+}
+
+func (a *Agent) serveSettle(_ context.Context, s *peer.Stream) {
+	var in settleRequest
+	if err := s.Recv(&in); err != nil {
+		s.Abort()
+		return
+	}
+	a.stats.Settled.Add(1)
+	a.mu.Lock()
+	state, answer := attempt.StateUnknown, (*attempt.Answer)(nil)
+	switch {
+	case a.live[in.ID] && in.Incarnation == a.o.Self.Incarnation:
+		state = attempt.StateRunning
+	case !in.Repeatable:
+		state, answer = a.record.Settle(a.o.Now(), in.ID, in.Incarnation)
+	}
+	a.mu.Unlock()
+	_ = s.Send(settleReply{State: state, Held: answer != nil})
+}
+
+func (a *Agent) serveFetch(_ context.Context, s *peer.Stream) {
+	var in fetchRequest
+	if err := s.Recv(&in); err != nil {
+		s.Abort()
+		return
+	}
+	a.mu.Lock()
+	_, answer := a.record.Settle(a.o.Now(), in.ID, in.Incarnation)
+	a.mu.Unlock()
+	if answer == nil || in.Offset > int64(len(answer.Body)) {
+		s.Abort()
+		return
+	}
+	a.stats.Fetched.Add(1)
+	head, err := heldHead(in.ID, answer)
+	if err != nil {
+		s.Abort()
+		return
+	}
+	head.Offset = in.Offset
+	if s.Send(head) == nil {
+		_, _ = s.Write(answer.Body[in.Offset:])
+	}
+}
+
+func (a *Agent) serveProbe(ctx context.Context, s *peer.Stream) {
+	var in probeRequest
+	if err := s.Recv(&in); err != nil {
+		s.Abort()
+		return
+	}
+	_ = s.Send(probeReply{Healthy: a.backend.reachable(ctx)})
+}
