--- a/daemon/internal/ctl/operate.go
+++ b/daemon/internal/ctl/operate.go
@@ -174,6 +174,7 @@
 					return client.RemoveReplica(ctx, args[0])
 				}),
 			},
+			a.recoverCommand(),
 		},
 	}
 }
--- a/daemon/internal/group/group.go
+++ b/daemon/internal/group/group.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -206,3 +207,12 @@
 	g.link.Close()
 	return errorx.DecorateMany("control group does not stop", err, g.store.Close())
 }
+
+// Folder returns the folder of the replica's files below a data folder, and
+// empty for none.
+func Folder(data string) string {
+	if data == "" {
+		return ""
+	}
+	return filepath.Join(data, "control")
+}
--- a/daemon/internal/replica/node.go
+++ b/daemon/internal/replica/node.go
@@ -323,6 +323,8 @@
 	n.err = err
 	n.last = n.status()
 	n.mu.Unlock()
+	// Whoever acts as the leader's process must not go on.
+	n.leaderChanged(quorum.SoftState{Term: n.last.Term})
 	n.failProposals(OutcomeUnknown.New("the replica ended"))
 	for _, p := range n.waiting {
 		p.finish(nil, Stopped.New("the replica ended"))
