--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -185,6 +186,7 @@
 		{"one is reported failing", 4, func(f *fleet) { f.agents[1].Healthy = false }, 6 * second, "ready:100/ready:0/ready:100/ready:100"},
 		{"a drained one falls silent", 2, func(f *fleet) { f.r.SetDrained([]string{"host-0"}); silence(f, 0) }, 6 * second, "gone:0/ready:100"},
 		{"all are drained", 2, func(f *fleet) { f.r.SetDrained([]string{"host-0", "host-1"}) }, 6 * second, "draining:0/draining:0"},
+		{"a weight is set", 2, func(f *fleet) { f.r.SetWeights(map[string]uint32{"host-1": 40}) }, second, "ready:100/ready:40"},
 		{"an agent asks to leave", 2, func(f *fleet) { f.agents[0].Draining = true }, 6 * second, "draining:0/ready:100"},
 		{"one flaps", 3, func(f *fleet) {
 			for range 5 {
@@ -269,6 +271,21 @@
 	}
 }
 
+func TestLoads(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, Options{})
+	f.run(10 * second)
+	for i, a := range f.agents {
+		a.Flows = uint32(100 + i)
+	}
+	f.run(2 * second)
+	is.Equal(len(f.r.Loads(f.now, 1, "host-2", 64)), 7)
+	few := f.r.Loads(f.now, 1, "host-6", 4)
+	is.Equal(len(few), 4)
+	is.True(slices.Contains(few, view.Load{Seed: view.SeedOf("host-6"), Flows: 106}))
+	is.Equal(f.r.Loads(f.now, 2, "host-6", 4), nil)
+}
+
 func TestMovedToAnotherService(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(2, Options{})
