Publish what operators put in force

Control published a list of services given at start. It now follows the replicated state: services, drains, and the weight and lease in force for each backend server, exceptions and their expiry included. It starts to publish only once the state holds every acknowledged command, so a process that starts behind takes no daemon back, and a view is numbered anew only where its members changed.

The admin interface runs in every process whose settings ask for it, and in the embedded default. A test drives a control process, two agents and a balancer through the client: apply, drain, cancel, exception, rollback and a resend, each in force on every daemon before the next.

The fleet of the node tests is renamed, as the package now imports fleet.

--- a/daemon/internal/embedded/embedded.go
+++ b/daemon/internal/embedded/embedded.go
@@ -5,10 +5,12 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/daemon/internal/settings"
 	"fulmarmount.org/daemon/internal/standin"
 )
@@ -78,6 +80,7 @@
 		Roles:       settings.Roles(),
 		LogLevel:    "warn",
 		StopTimeout: stopTimeout,
+		Admin:       settings.Admin{Socket: socket()},
 		Control:     settings.Control{Listen: controlAddr},
 		Join:        settings.Join{Control: []netip.AddrPort{controlAddr}},
 		Balancer:    settings.Balancer{Packets: anyPort, MTU: mtu},
@@ -101,14 +104,20 @@
 	}
 }
 
-// Services returns what control is told.
-func (s *Services) Services() []proto.Service {
-	return []proto.Service{
-		{ID: 1, Name: deskService, Mode: proto.ModeStream, Addresses: []netip.AddrPort{deskAddr}},
-		{ID: 2, Name: catalogueService, Mode: proto.ModePacket, Addresses: []netip.AddrPort{catalogueAddr}},
+// Fleet returns the configuration that control starts with.
+func (s *Services) Fleet() *fleet.Document {
+	return &fleet.Document{
+		Defaults: fleet.DefaultSettings(),
+		Services: []fleet.Service{
+			{Name: deskService, Mode: fleet.ModeStream, Addresses: []netip.AddrPort{deskAddr}},
+			{Name: catalogueService, Mode: fleet.ModePacket, Addresses: []netip.AddrPort{catalogueAddr}},
+		},
 	}
 }
 
+// socket returns the path of the operators' socket.
+func socket() string { return filepath.Join(os.TempDir(), "fulmarmount.sock") }
+
 // Guide tells a person what to try.
 func (s *Services) Guide() string {
 	var b strings.Builder
@@ -116,6 +125,7 @@
 	fmt.Fprintf(&b, "  curl http://%s/\n", deskAddr)
 	fmt.Fprintf(&b, "  curl -H 'Idempotency-Key: a-1' -d 'blades: 40' http://%s/amendments\n", deskAddr)
 	fmt.Fprintf(&b, "  curl --http3-only -k https://%s/sheet?bytes=1000   (a curl with HTTP/3)\n\n", catalogueAddr)
+	fmt.Fprintf(&b, "Operators: fulmarctl --socket %s status\n", socket())
 	fmt.Fprintf(&b, "SIGUSR1 prints the state of the process, Ctrl-C ends it.\n")
 	return b.String()
 }
--- a/daemon/internal/fleetstore/store.go
+++ b/daemon/internal/fleetstore/store.go
@@ -48,6 +48,12 @@
 	return nil
 }
 
+// Peek calls read with the state as this process has it, which may lag.
+func (s *Store) Peek(read func(*fleet.Machine)) { s.machine.Read(read) }
+
+// Changed returns a channel that is closed at the next change of the state.
+func (s *Store) Changed() <-chan struct{} { return s.machine.Changed() }
+
 // Local is a log of one process, in memory alone: for the embedded default,
 // whose state ends with its process.
 type Local struct {
--- a/daemon/internal/node/node.go
+++ b/daemon/internal/node/node.go
@@ -10,8 +10,10 @@
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
+	"fulmarmount.org/core/fleet"
+	"fulmarmount.org/daemon/internal/admin"
+	"fulmarmount.org/daemon/internal/fleetstore"
 	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/proto"
 	"fulmarmount.org/daemon/internal/settings"
 )
 
@@ -25,8 +27,12 @@
 	// Spray is the number of balancers on this host that share the service
 	// addresses packet by packet; 0 where the fabric does that.
 	Spray int
-	// Services are the services of a control role that starts without state.
-	Services []proto.Service
+	// Store is the replicated state that the control role publishes; nil in
+	// processes without that role.
+	Store *fleetstore.Store
+	// Initial is put in force by a control role that starts without state;
+	// nil for none.
+	Initial *fleet.Document
 	// Ready is called once every role has started; nil where nobody waits.
 	Ready func()
 	// Now is the clock.
@@ -74,8 +80,16 @@
 // registerRoles starts the roles in an order in which each finds what it
 // connects to, and stops them in the opposite one.
 func registerRoles(lc fx.Lifecycle, o Options, d *Dumper) {
+	var spread admin.Spread
 	if o.Settings.Has(settings.RoleControl) {
-		register(lc, d, settings.RoleControl, func() (role, error) { return startControl(o) })
+		o.Store = newStore()
+		register(lc, d, settings.RoleControl, func() (role, error) {
+			c, err := startControl(o)
+			if err == nil {
+				spread = c.(admin.Spread)
+			}
+			return c, err
+		})
 	}
 	if o.Settings.Has(settings.RoleAgent) {
 		for _, a := range o.Settings.Agents {
@@ -85,6 +99,7 @@
 	if o.Settings.Has(settings.RoleBalancer) {
 		register(lc, d, settings.RoleBalancer, func() (role, error) { return startBalancer(o) })
 	}
+	registerAdmin(lc, o, d, &spread)
 }
 
 // role is a running role.
--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -28,8 +28,8 @@
 // fleet works.
 const patience = 30 * time.Second
 
-// fleet is a whole fleet within the test's process.
-type fleet struct {
+// testFleet is a whole fleet within the test's process.
+type testFleet struct {
 	t       *testing.T
 	set     *keys.Set
 	bind    settings.Bind
@@ -37,13 +37,19 @@
 	agents  int
 }
 
-func newFleet(t *testing.T, services ...proto.Service) *fleet {
+// newEmptyFleet returns a fleet without processes.
+func newEmptyFleet(t *testing.T) *testFleet {
 	t.Helper()
 	set, err := keys.Ephemeral(time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{t: t, set: set}
+	return &testFleet{t: t, set: set}
+}
+
+func newFleet(t *testing.T, services ...proto.Service) *testFleet {
+	t.Helper()
+	f := newEmptyFleet(t)
 	running, err := startControl(f.options("control", settings.Process{
 		Control: settings.Control{Listen: netip.MustParseAddrPort("127.0.0.1:0")},
 	}))
@@ -56,7 +62,7 @@
 	return f
 }
 
-func (f *fleet) options(name string, s settings.Process) Options {
+func (f *testFleet) options(name string, s settings.Process) Options {
 	identity, err := f.set.Identity(name, time.Now())
 	if err != nil {
 		f.t.Fatal(err)
@@ -68,7 +74,7 @@
 	return Options{Settings: &s, Identity: identity, Ring: f.set.Ring, Spray: 2, Now: time.Now, Log: zap.NewNop()}
 }
 
-func (f *fleet) balancer(name string) *balancer.Balancer {
+func (f *testFleet) balancer(name string) *balancer.Balancer {
 	running, err := startBalancer(f.options(name, settings.Process{Balancer: settings.Balancer{
 		Packets: netip.MustParseAddrPort("127.0.0.1:0"),
 		MTU:     1500,
@@ -81,7 +87,7 @@
 	return running.(*balancer.Balancer)
 }
 
-func (f *fleet) agent(service string, backend netip.AddrPort) *agent.Agent {
+func (f *testFleet) agent(service string, backend netip.AddrPort) *agent.Agent {
 	f.agents++
 	name := fmt.Sprintf("%s-%d", service, f.agents)
 	running, err := startAgent(f.options(name, settings.Process{Zone: "zone-a"}), settings.Agent{
--- a/daemon/internal/node/roles.go
+++ b/daemon/internal/node/roles.go
@@ -46,18 +46,22 @@
 }
 
 func startControl(o Options) (role, error) {
-	c, err := control.Start(control.Options{
+	options := control.Options{
 		Listen: o.Settings.Control.Listen,
 		TLS:    o.Identity.ServerTLSFor([]keys.Role{keys.Balancer, keys.Agent, keys.Control}, peer.Protocol),
 		Epoch:  uint64(o.Now().Unix()),
 		Now:    o.Now,
 		Log:    o.Log.Named("control"),
-	})
-	if err != nil {
-		return nil, err
 	}
-	c.SetServices(o.Services)
-	return c, nil
+	if o.Store != nil {
+		options.Fleet = o.Store
+	}
+	if o.Initial != nil {
+		if err := putInForce(o); err != nil {
+			return nil, err
+		}
+	}
+	return control.Start(options)
 }
 
 func startBalancer(o Options) (role, error) {
--- a/daemon/internal/proto/proto.go
+++ b/daemon/internal/proto/proto.go
@@ -13,7 +13,8 @@
 const (
 	// Announce: an agent to control; view.Announcement one way, AnnounceReply back.
 	Announce = "announce"
-	// Subscribe: a daemon to control; Hello one way, Update back.
+	// Subscribe: a daemon to control; Hello one way, Update back, and InForce
+	// for each update.
 	Subscribe = "subscribe"
 	// Tunnel: a balancer to an agent; TunnelOpen, TunnelReply, then raw bytes
 	// both ways.
@@ -57,6 +58,13 @@
 	Version  view.Version `cbor:"1,keyasint"`
 	Services []Service    `cbor:"2,keyasint"`
 	Views    []*view.View `cbor:"3,keyasint"`
+	// Revision numbers the configuration within the update.
+	Revision uint64 `cbor:"4,keyasint"`
+}
+
+// InForce tells control that a daemon has put a configuration in force.
+type InForce struct {
+	Revision uint64 `cbor:"1,keyasint"`
 }
 
 // TunnelOpen asks an agent to connect to its backend server.
--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -25,17 +25,15 @@
 	TLS *tls.Config
 	// Epoch is the epoch of the views this process publishes.
 	Epoch uint64
+	// Fleet is the replicated state, nil where SetServices is used instead.
+	Fleet Fleet
 	// Now is the clock.
 	Now func() time.Time
 	Log *zap.Logger
 }
 
-const (
-	// lease is how long an announcement holds.
-	lease = 3 * time.Second
-	// sweepInterval is how often expired leases are looked for.
-	sweepInterval = 500 * time.Millisecond
-)
+// sweepInterval is how often expired leases and exceptions are looked for.
+const sweepInterval = 500 * time.Millisecond
 
 // Control is one running control process.
 type Control struct {
@@ -43,12 +41,16 @@
 	server  *peer.Server
 	cancel  context.CancelFunc
 
-	mu       sync.Mutex
-	version  view.Version
-	services []proto.Service
-	members  map[string]member
-	views    map[view.ServiceID]*view.View
-	changed  chan struct{}
+	mu            sync.Mutex
+	version       view.Version
+	configuration configuration
+	services      map[string]proto.Service
+	members       map[string]member
+	views         map[view.ServiceID]*view.View
+	daemons       map[string]daemon
+	changed       chan struct{}
+	// current is closed once the configuration is known to be current.
+	current chan struct{}
 }
 
 // member is an announced backend server.
@@ -66,7 +68,9 @@
 		version: view.Version{Epoch: o.Epoch},
 		members: make(map[string]member),
 		views:   make(map[view.ServiceID]*view.View),
+		daemons: make(map[string]daemon),
 		changed: make(chan struct{}),
+		current: make(chan struct{}),
 	}
 	server, err := peer.Listen(peer.ServerOptions{
 		Addr: o.Listen,
@@ -83,6 +87,9 @@
 	}
 	c.server = server
 	go c.sweep(ctx)
+	if o.Fleet != nil {
+		go c.follow(ctx)
+	}
 	return c, nil
 }
 
@@ -98,17 +105,6 @@
 // Stop stops serving. Daemons go on with what they have.
 func (c *Control) Stop(context.Context) error { return c.Close() }
 
-// SetServices replaces the services.
-func (c *Control) SetServices(services []proto.Service) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.services = services
-	for _, s := range services {
-		c.publish(s)
-	}
-	c.notify()
-}
-
 // announce serves one agent's announcements.
 func (c *Control) announce(_ context.Context, from keys.Info, s *peer.Stream) {
 	for {
@@ -129,7 +125,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	service, ok := c.service(a.Service)
+	service, ok := c.services[a.Service]
+	lease := c.configuration.settings(a, c.options.Now()).Lease
 	if !ok {
 		return proto.AnnounceReply{Reason: "no such service", Lease: lease}
 	}
@@ -140,8 +137,9 @@
 	c.members[a.ID] = member{announcement: a, expires: c.options.Now().Add(lease)}
 	if !exists || !sameMember(known.announcement, a) {
 		c.options.Log.Info("Took an announcement.", zap.String("id", a.ID), zap.String("service", a.Service))
-		c.publish(service)
-		c.notify()
+		if c.publish(service) {
+			c.notify()
+		}
 	}
 	return proto.AnnounceReply{Accepted: true, Lease: lease}
 }
@@ -161,39 +159,6 @@
 		a.Draining == b.Draining && a.Healthy == b.Healthy && a.Slots == b.Slots
 }
 
-func (c *Control) service(name string) (proto.Service, bool) {
-	for _, s := range c.services {
-		if s.Name == name {
-			return s, true
-		}
-	}
-	return proto.Service{}, false
-}
-
-// publish numbers a new view of a service. The caller holds the lock.
-func (c *Control) publish(s proto.Service) {
-	c.version.Number++
-	var members []view.BackendServer
-	for _, m := range c.members {
-		if m.announcement.Service == s.Name {
-			members = append(members, backendServer(m.announcement))
-		}
-	}
-	c.views[s.ID] = view.New(s.ID, c.version, members)
-}
-
-func backendServer(a view.Announcement) view.BackendServer {
-	b := view.BackendServer{
-		ID: a.ID, Zone: a.Zone, Incarnation: a.Incarnation,
-		Packets: a.Packets, Requests: a.Requests, Slots: a.Slots,
-		State: view.Ready, Weight: view.FullWeight,
-	}
-	if a.Draining || !a.Healthy {
-		b.State, b.Weight = view.Draining, 0
-	}
-	return b
-}
-
 // sweep removes members whose lease has ended.
 func (c *Control) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
@@ -204,6 +169,8 @@
 			return
 		case <-ticker.C:
 			c.expire(c.options.Now())
+			c.expireExceptions(c.options.Now())
+			c.forget(c.options.Now())
 		}
 	}
 }
@@ -217,10 +184,9 @@
 		}
 		delete(c.members, id)
 		c.options.Log.Warn("A lease ended.", zap.String("id", id))
-		if s, ok := c.service(m.announcement.Service); ok {
-			c.publish(s)
+		if s, ok := c.services[m.announcement.Service]; ok && c.publish(s) {
+			c.notify()
 		}
-		c.notify()
 	}
 }
 
@@ -230,32 +196,3 @@
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
-
-// subscribe sends the whole state after every change.
-func (c *Control) subscribe(ctx context.Context, _ keys.Info, s *peer.Stream) {
-	var hello proto.Hello
-	if err := s.Recv(&hello); err != nil {
-		return
-	}
-	for {
-		update, changed := c.state()
-		if err := s.Send(update); err != nil {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
-func (c *Control) state() (proto.Update, <-chan struct{}) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	update := proto.Update{Version: c.version, Services: c.services}
-	for _, v := range c.views {
-		update.Views = append(update.Views, v)
-	}
-	return update, c.changed
-}
--- a/daemon/internal/role/control/dump.go
+++ b/daemon/internal/role/control/dump.go
@@ -13,6 +13,7 @@
 type Dump struct {
 	Listen   netip.AddrPort  `json:"listen"`
 	Version  view.Version    `json:"version"`
+	Revision uint64          `json:"revision"`
 	Services []proto.Service `json:"services"`
 	Views    []*view.View    `json:"views"`
 }
@@ -24,7 +25,8 @@
 	return Dump{
 		Listen:   c.server.Addr(),
 		Version:  c.version,
-		Services: c.services,
+		Revision: c.configuration.revision,
+		Services: slices.Collect(maps.Values(c.services)),
 		Views:    slices.Collect(maps.Values(c.views)),
 	}
 }
@@ -32,6 +34,7 @@
 // Counters are the sizes of what a control process holds.
 type Counters struct {
 	Members int `json:"members"`
+	Daemons int `json:"daemons"`
 	Views   int `json:"views"`
 }
 
@@ -39,5 +42,5 @@
 func (c *Control) Counters() any {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Counters{Members: len(c.members), Views: len(c.views)}
+	return Counters{Members: len(c.members), Daemons: len(c.daemons), Views: len(c.views)}
 }
--- a/daemon/internal/run/run.go
+++ b/daemon/internal/run/run.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	n.Services = services.Services()
+	n.Initial = services.Fleet()
 	n.Ready = func() { _, _ = fmt.Fprint(o.Output, services.Guide()) }
 	return serve(ctx, n)
 }
--- a/daemon/internal/subscribe/subscribe.go
+++ b/daemon/internal/subscribe/subscribe.go
@@ -76,6 +76,9 @@
 		}
 		o.Adopt(update)
 		adopted = true
+		if err := s.Send(proto.InForce{Revision: update.Revision}); err != nil {
+			return adopted, err
+		}
 	}
 }
 
