--- a/daemon/internal/admin/admin.go
+++ b/daemon/internal/admin/admin.go
@@ -65,9 +65,10 @@
 // Daemon is what control knows of one process.
 type Daemon struct {
 	Name string `json:"name"`
-	// Revision is the state that the daemon has acknowledged as in force.
-	Revision uint64    `json:"revision"`
-	LastSeen time.Time `json:"last_seen"`
+	// InForce is the position of the newest change that the daemon has in force.
+	InForce string `json:"in_force"`
+	// Departed is set where its connection is lost.
+	Departed bool `json:"departed,omitempty"`
 }
 
 // Progress tells how far a revision has spread.
--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -126,11 +127,20 @@
 }
 
 var (
-	floorAddr     = netip.MustParseAddrPort("127.0.40.1:4000")
-	deskAddr      = netip.MustParseAddrPort("127.0.40.2:4000")
-	catalogueAddr = netip.MustParseAddrPort("127.0.40.3:4000")
+	floorAddr     = testAddr(0)
+	deskAddr      = testAddr(1)
+	catalogueAddr = testAddr(2)
 )
 
+// testAddr returns service address n of this process. No other running test
+// process has its port: balancers share ports, with wildcard sockets on every
+// address, so two processes with one port would take each other's packets.
+func testAddr(n int) netip.AddrPort {
+	const firstPort, processes, addresses = 10_000, 7_000, 3 // below the ephemeral ports
+	port := firstPort + os.Getpid()%processes*addresses + n
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 40, byte(1 + n)}), uint16(port))
+}
+
 func TestDatagramsOfOneFlowSprayedOverTwoBalancersReachOneServer(t *testing.T) {
 	for _, bind := range []settings.Bind{settings.BindAddresses, settings.BindWildcard} {
 		t.Run(string(bind), func(t *testing.T) { testSprayedFlows(t, bind) })
--- a/daemon/internal/role/control/configuration.go
+++ b/daemon/internal/role/control/configuration.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -8,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/fleet"
+	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/proto"
 	"fulmarmount.org/daemon/internal/subscribe"
@@ -83,6 +85,7 @@
 		services = append(services, service(&next.document.Services[i]))
 	}
 	c.replaceServices(services)
+	c.notePosition(next.revision)
 	c.options.Log.Info("Adopted a configuration.",
 		zap.Uint64("version", m.Version()), zap.Uint64("revision", m.Revision()), zap.Int("services", len(services)))
 }
@@ -103,61 +106,75 @@
 	}
 }
 
-// replaceServices publishes the views of services and withdraws those of all
-// others. The caller holds the lock.
+// replaceServices publishes what differs from the services before. The caller
+// holds the lock.
 func (c *Control) replaceServices(services []proto.Service) {
+	old := c.services
 	c.services = make(map[string]proto.Service, len(services))
-	kept := make(map[view.ServiceID]bool, len(services))
 	for _, s := range services {
 		c.services[s.Name] = s
-		kept[s.ID] = true
 	}
-	for id := range c.views {
-		if !kept[id] {
-			delete(c.views, id)
+	for name, s := range old {
+		next, kept := c.services[name]
+		if !kept {
+			c.check(c.publisher.Delete(proto.ServiceKey(name)))
+		}
+		if !kept || next.ID != s.ID {
+			delete(c.views, s.ID)
+			c.check(c.publisher.Delete(proto.ViewKey(name)))
+		}
+	}
+	for _, s := range services {
+		if before, ok := old[s.Name]; !ok || !sameService(before, s) {
+			c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ServiceItem(s, at) }))
 		}
 	}
 	c.publishAll()
-	c.notify()
+}
+
+func sameService(a, b proto.Service) bool {
+	return a.ID == b.ID && a.Name == b.Name && a.Mode == b.Mode && slices.Equal(a.Addresses, b.Addresses)
 }
 
 // expireExceptions publishes anew when an exception has ended.
 func (c *Control) expireExceptions(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.configuration.document == nil || len(c.configuration.document.Expired(now)) == c.configuration.expired {
-		return
-	}
-	if c.publishAll() {
-		c.notify()
+	if c.configuration.document != nil && len(c.configuration.document.Expired(now)) != c.configuration.expired {
+		c.publishAll()
 	}
 }
 
-// publishAll publishes every view that differs from the one published before,
-// and reports whether there is any. The caller holds the lock.
-func (c *Control) publishAll() bool {
+// publishAll publishes every view that differs from the one published before.
+// The caller holds the lock.
+func (c *Control) publishAll() {
 	if c.configuration.document != nil {
 		c.configuration.expired = len(c.configuration.document.Expired(c.options.Now()))
 	}
-	changed := false
 	for _, s := range c.services {
-		if c.publish(s) {
-			changed = true
-		}
+		c.publish(s)
 	}
-	return changed
 }
 
 // publish numbers a new view of a service where its members changed. The
 // caller holds the lock.
-func (c *Control) publish(s proto.Service) bool {
-	next := view.New(s.ID, view.Version{Epoch: c.version.Epoch, Number: c.version.Number + 1}, c.membersOf(s.Name))
-	if old := c.views[s.ID]; old != nil && slices.Equal(old.Members, next.Members) {
-		return false
-	}
-	c.version = next.Version
-	c.views[s.ID] = next
-	return true
+func (c *Control) publish(s proto.Service) {
+	members := c.membersOf(s.Name)
+	if old := c.views[s.ID]; old != nil && sameMembers(old.Members, members) {
+		return
+	}
+	c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) {
+		v := view.New(s.ID, at, members)
+		c.views[s.ID] = v
+		return proto.ViewItem(s.Name, v)
+	}))
+}
+
+// sameMembers compares members that were published with new ones, which it
+// sorts as view.New does.
+func sameMembers(published, members []view.BackendServer) bool {
+	slices.SortFunc(members, func(a, b view.BackendServer) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.Equal(published, members)
 }
 
 func (c *Control) membersOf(service string) []view.BackendServer {
--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -15,6 +15,7 @@
 	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/daemon/internal/subscribe"
 )
 
 // Options configure a Control.
@@ -41,16 +42,17 @@
 	server  *peer.Server
 	cancel  context.CancelFunc
 
+	publisher *subscribe.Publisher
+
+	// current is closed once the configuration is known to be current.
+	current chan struct{}
+
 	mu            sync.Mutex
-	version       view.Version
 	configuration configuration
 	services      map[string]proto.Service
 	members       map[string]member
 	views         map[view.ServiceID]*view.View
-	daemons       map[string]daemon
-	changed       chan struct{}
-	// current is closed once the configuration is known to be current.
-	current chan struct{}
+	published     []publication
 }
 
 // member is an announced backend server.
@@ -61,16 +63,18 @@
 
 // Start opens the socket and serves daemons until Close.
 func Start(o Options) (*Control, error) {
+	publisher, err := subscribe.NewPublisher(subscribe.PublisherOptions{Epoch: o.Epoch, Now: o.Now})
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{
-		options: o,
-		cancel:  cancel,
-		version: view.Version{Epoch: o.Epoch},
-		members: make(map[string]member),
-		views:   make(map[view.ServiceID]*view.View),
-		daemons: make(map[string]daemon),
-		changed: make(chan struct{}),
-		current: make(chan struct{}),
+		options:   o,
+		cancel:    cancel,
+		publisher: publisher,
+		current:   make(chan struct{}),
+		members:   make(map[string]member),
+		views:     make(map[view.ServiceID]*view.View),
 	}
 	server, err := peer.Listen(peer.ServerOptions{
 		Addr: o.Listen,
@@ -86,6 +90,7 @@
 		return nil, err
 	}
 	c.server = server
+	go publisher.Run(ctx)
 	go c.sweep(ctx)
 	if o.Fleet != nil {
 		go c.follow(ctx)
@@ -105,6 +110,13 @@
 // Stop stops serving. Daemons go on with what they have.
 func (c *Control) Stop(context.Context) error { return c.Close() }
 
+// check logs what could not be published.
+func (c *Control) check(err error) {
+	if err != nil {
+		c.options.Log.Error("Cannot publish.", zap.Error(err))
+	}
+}
+
 // announce serves one agent's announcements.
 func (c *Control) announce(_ context.Context, from keys.Info, s *peer.Stream) {
 	for {
@@ -137,9 +149,7 @@
 	c.members[a.ID] = member{announcement: a, expires: c.options.Now().Add(lease)}
 	if !exists || !sameMember(known.announcement, a) {
 		c.options.Log.Info("Took an announcement.", zap.String("id", a.ID), zap.String("service", a.Service))
-		if c.publish(service) {
-			c.notify()
-		}
+		c.publish(service)
 	}
 	return proto.AnnounceReply{Accepted: true, Lease: lease}
 }
@@ -170,7 +180,6 @@
 		case <-ticker.C:
 			c.expire(c.options.Now())
 			c.expireExceptions(c.options.Now())
-			c.forget(c.options.Now())
 		}
 	}
 }
@@ -184,15 +193,8 @@
 		}
 		delete(c.members, id)
 		c.options.Log.Warn("A lease ended.", zap.String("id", id))
-		if s, ok := c.services[m.announcement.Service]; ok && c.publish(s) {
-			c.notify()
+		if s, ok := c.services[m.announcement.Service]; ok {
+			c.publish(s)
 		}
 	}
 }
-
-// notify wakes the subscribers. The caller holds the lock.
-func (c *Control) notify() {
-	c.version.Number++
-	close(c.changed)
-	c.changed = make(chan struct{})
-}
--- a/daemon/internal/role/control/dump.go
+++ b/daemon/internal/role/control/dump.go
@@ -24,7 +24,7 @@
 	defer c.mu.Unlock()
 	return Dump{
 		Listen:   c.server.Addr(),
-		Version:  c.version,
+		Version:  c.publisher.Position(),
 		Revision: c.configuration.revision,
 		Services: slices.Collect(maps.Values(c.services)),
 		Views:    slices.Collect(maps.Values(c.views)),
@@ -34,7 +34,6 @@
 // Counters are the sizes of what a control process holds.
 type Counters struct {
 	Members int `json:"members"`
-	Daemons int `json:"daemons"`
 	Views   int `json:"views"`
 }
 
@@ -42,5 +41,5 @@
 func (c *Control) Counters() any {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Counters{Members: len(c.members), Daemons: len(c.daemons), Views: len(c.views)}
+	return Counters{Members: len(c.members), Views: len(c.views)}
 }
