--- a/core/fleet/settings.go
+++ b/core/fleet/settings.go
@@ -47,12 +47,12 @@
 		Deadline:    10 * time.Second,
 		QueueTime:   500 * time.Millisecond,
 		IdleTimeout: 5 * time.Minute,
-		Warming:     30 * time.Second,
+		Warming:     20 * time.Second,
 		DrainLimit:  24 * time.Hour,
-		Lease:       6 * time.Second,
+		Lease:       3 * time.Second,
 		Weight:      100,
 		RetryBudget: 10,
-		MaxEjected:  30,
+		MaxEjected:  50,
 	}
 }
 
@@ -71,9 +71,11 @@
 	key       Key
 	unit      unit
 	low, high int64
-	scopes    []Scope
-	duration  func(*Settings) *time.Duration
-	number    func(*Settings) *uint32
+	// scopes are what exceptions may set the key for; none where the key is
+	// for the whole fleet.
+	scopes   []Scope
+	duration func(*Settings) *time.Duration
+	number   func(*Settings) *uint32
 }
 
 var (
@@ -97,7 +99,7 @@
 		duration: func(s *Settings) *time.Duration { return &s.IdleTimeout },
 	},
 	{
-		key: "warming", low: 0, high: int64(day), scopes: anyScope,
+		key: "warming", low: int64(time.Second), high: int64(day),
 		duration: func(s *Settings) *time.Duration { return &s.Warming },
 	},
 	{
@@ -105,7 +107,7 @@
 		duration: func(s *Settings) *time.Duration { return &s.DrainLimit },
 	},
 	{
-		key: "lease", low: int64(time.Second), high: int64(5 * time.Minute), scopes: anyScope,
+		key: "lease", low: int64(2 * time.Second), high: int64(5 * time.Minute),
 		duration: func(s *Settings) *time.Duration { return &s.Lease },
 	},
 	{
@@ -117,7 +119,7 @@
 		number: func(s *Settings) *uint32 { return &s.RetryBudget },
 	},
 	{
-		key: "max_ejected", unit: unitPercent, low: 0, high: 100, scopes: serviceScope,
+		key: "max_ejected", unit: unitPercent, low: 1, high: 100,
 		number: func(s *Settings) *uint32 { return &s.MaxEjected },
 	},
 }
--- a/daemon/internal/admin/admin.go
+++ b/daemon/internal/admin/admin.go
@@ -92,10 +92,12 @@
 	Zone    string `json:"zone"`
 	State   string `json:"state"`
 	Weight  uint32 `json:"weight"`
-	// Load is the number of requests and flows that the backend server holds.
+	// Flows is the number of flows that its agent owns.
+	Flows uint32 `json:"flows"`
+	// Load is the number of requests that run or wait.
 	Load uint32 `json:"load"`
-	// Draining is set while operators ask for its drain.
-	Draining bool `json:"draining"`
+	// Reasons tell what keeps it from new flows.
+	Reasons []string `json:"reasons,omitempty"`
 }
 
 // Spread is what control knows of the daemons and backend servers.
--- a/daemon/internal/ctl/ctl_test.go
+++ b/daemon/internal/ctl/ctl_test.go
@@ -62,7 +62,7 @@
 }
 
 func (c *control) Members() []admin.Member {
-	return []admin.Member{{Service: "order-desk", ID: "order-desk-1", Zone: "sejong-a", State: "draining", Load: 41}}
+	return []admin.Member{{Service: "order-desk", ID: "order-desk-1", Zone: "sejong-a", State: "draining", Flows: 41, Reasons: []string{"drained by an operator"}}}
 }
 
 func (c *control) Replicas(context.Context) ([]admin.Replica, error) {
@@ -167,7 +167,7 @@
 		{"history", exitOK, "1        2026-03-01T09:00:00Z"},
 		{"drain -m disk order-desk-1", exitOK, "drain of order-desk-1 is accepted"},
 		{"status", exitOK, "drain of order-desk-1 since 2026-03-01T09:00:00Z"},
-		{"status", exitOK, "order-desk  order-desk-1    sejong-a  draining  0       41    -"},
+		{"status", exitOK, "order-desk  order-desk-1    sejong-a  draining  0       41     0     drained by an operator"},
 		{"status --json", exitOK, `"version": 3`},
 		{"drain --cancel order-desk-1", exitOK, "cancel drain of order-desk-1 is accepted"},
 		{"drain --cancel order-desk-1", exitFailed, "there is no such version or drain"},
--- a/daemon/internal/ctl/operate.go
+++ b/daemon/internal/ctl/operate.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v4"
@@ -91,10 +92,11 @@
 	if len(members) == 0 {
 		return nil
 	}
-	rows := [][]string{{"SERVICE", "BACKEND SERVER", "ZONE", "STATE", "WEIGHT", "LOAD", "DRAIN"}}
+	rows := [][]string{{"SERVICE", "BACKEND SERVER", "ZONE", "STATE", "WEIGHT", "FLOWS", "LOAD", "REASONS"}}
 	for _, m := range members {
 		rows = append(rows, []string{
-			m.Service, m.ID, m.Zone, m.State, strconv.Itoa(int(m.Weight)), strconv.Itoa(int(m.Load)), yes(m.Draining),
+			m.Service, m.ID, m.Zone, m.State, strconv.Itoa(int(m.Weight)),
+			strconv.Itoa(int(m.Flows)), strconv.Itoa(int(m.Load)), strings.Join(m.Reasons, "; "),
 		})
 	}
 	return a.table(rows)
--- a/daemon/internal/role/control/configuration.go
+++ b/daemon/internal/role/control/configuration.go
@@ -1,14 +1,13 @@
 package control
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/fleet"
+	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/proto"
@@ -32,18 +31,27 @@
 type configuration struct {
 	revision uint64
 	document *fleet.Document
-	draining map[string]bool
-	// expired is the number of exceptions that had ended when views were
-	// last published.
+	drains   []fleet.Drain
+	// expired is the number of exceptions that had ended when the weights
+	// were last set.
 	expired int
 }
 
-// settings returns what is in force for the backend server of a at now.
-func (c *configuration) settings(a view.Announcement, now time.Time) fleet.Settings {
+// defaults returns the fleet-wide settings.
+func (c *configuration) defaults() fleet.Settings {
 	if c.document == nil {
 		return fleet.DefaultSettings()
 	}
-	return c.document.Effective(fleet.Target{Service: a.Service, Zone: a.Zone, BackendServer: a.ID}, now)
+	return c.document.Defaults
+}
+
+// registryOptions returns what the settings mean for membership.
+func registryOptions(s fleet.Settings) lease.Options {
+	return lease.Options{
+		Lease:      s.Lease,
+		WarmFor:    s.Warming,
+		MaxEjected: float64(s.MaxEjected) / 100,
+	}
 }
 
 // follow adopts the replicated state. The first state is one that holds every
@@ -75,23 +83,57 @@
 	if c.configuration.document != nil && m.Revision() <= c.configuration.revision {
 		return
 	}
-	next := configuration{revision: m.Revision(), document: m.Document(), draining: make(map[string]bool)}
-	for _, d := range m.Drains() {
-		next.draining[d.BackendServer] = true
-	}
-	c.configuration = next
+	c.configuration = configuration{revision: m.Revision(), document: m.Document(), drains: m.Drains()}
+	now := c.options.Now()
 	var services []proto.Service
-	for i := range next.document.Services {
-		services = append(services, service(&next.document.Services[i]))
+	for i := range c.configuration.document.Services {
+		services = append(services, c.service(&c.configuration.document.Services[i], now))
 	}
 	c.replaceServices(services)
-	c.notePosition(next.revision)
+	c.registry.SetOptions(registryOptions(c.configuration.document.Defaults))
+	c.setWeights(now)
+	var drained []string
+	for _, d := range c.configuration.drains {
+		drained = append(drained, d.BackendServer)
+	}
+	c.registry.SetDrained(drained)
+	c.pending = &pending{revision: m.Revision(), due: now.Add(settleTime)}
 	c.options.Log.Info("Adopted a configuration.",
 		zap.Uint64("version", m.Version()), zap.Uint64("revision", m.Revision()), zap.Int("services", len(services)))
 }
 
-func service(s *fleet.Service) proto.Service {
-	return proto.Service{ID: s.ID, Name: s.Name, Mode: proto.Mode(s.Mode), Addresses: s.Addresses}
+// service returns what daemons are told of a service.
+func (c *Control) service(s *fleet.Service, now time.Time) proto.Service {
+	return proto.Service{
+		ID: s.ID, Name: s.Name, Mode: proto.Mode(s.Mode), Addresses: s.Addresses,
+		Share: s.Share, Classes: s.Classes, Repeatable: s.Repeatable,
+		Settings: c.configuration.document.Effective(fleet.Target{Service: s.Name}, now),
+	}
+}
+
+// setWeights gives every backend server the weight in force for it. The caller
+// holds the lock.
+func (c *Control) setWeights(now time.Time) {
+	document := c.configuration.document
+	c.configuration.expired = len(document.Expired(now))
+	c.registry.SetWeights(func(a *view.Announcement) uint32 {
+		return document.Effective(fleet.Target{Service: a.Service, Zone: a.Zone, BackendServer: a.ID}, now).Weight
+	})
+}
+
+// expireExceptions takes exceptions that have ended out of force. The caller
+// holds the lock.
+func (c *Control) expireExceptions(now time.Time) {
+	document := c.configuration.document
+	if document == nil || len(document.Expired(now)) == c.configuration.expired {
+		return
+	}
+	c.setWeights(now)
+	var services []proto.Service
+	for i := range document.Services {
+		services = append(services, c.service(&document.Services[i], now))
+	}
+	c.replaceServices(services)
 }
 
 // SetServices replaces the services, for a process without replicated state.
@@ -111,8 +153,9 @@
 func (c *Control) replaceServices(services []proto.Service) {
 	old := c.services
 	c.services = make(map[string]proto.Service, len(services))
+	c.names = make(map[view.ServiceID]string, len(services))
 	for _, s := range services {
-		c.services[s.Name] = s
+		c.services[s.Name], c.names[s.ID] = s, s.Name
 	}
 	for name, s := range old {
 		next, kept := c.services[name]
@@ -120,81 +163,13 @@
 			c.check(c.publisher.Delete(proto.ServiceKey(name)))
 		}
 		if !kept || next.ID != s.ID {
-			delete(c.views, s.ID)
+			c.registry.RemoveService(s.ID)
 			c.check(c.publisher.Delete(proto.ViewKey(name)))
 		}
 	}
 	for _, s := range services {
-		if before, ok := old[s.Name]; !ok || !sameService(before, s) {
+		if before, ok := old[s.Name]; !ok || !before.Equal(&s) {
 			c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ServiceItem(s, at) }))
 		}
 	}
-	c.publishAll()
-}
-
-func sameService(a, b proto.Service) bool {
-	return a.ID == b.ID && a.Name == b.Name && a.Mode == b.Mode && slices.Equal(a.Addresses, b.Addresses)
-}
-
-// expireExceptions publishes anew when an exception has ended.
-func (c *Control) expireExceptions(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.configuration.document != nil && len(c.configuration.document.Expired(now)) != c.configuration.expired {
-		c.publishAll()
-	}
-}
-
-// publishAll publishes every view that differs from the one published before.
-// The caller holds the lock.
-func (c *Control) publishAll() {
-	if c.configuration.document != nil {
-		c.configuration.expired = len(c.configuration.document.Expired(c.options.Now()))
-	}
-	for _, s := range c.services {
-		c.publish(s)
-	}
-}
-
-// publish numbers a new view of a service where its members changed. The
-// caller holds the lock.
-func (c *Control) publish(s proto.Service) {
-	members := c.membersOf(s.Name)
-	if old := c.views[s.ID]; old != nil && sameMembers(old.Members, members) {
-		return
-	}
-	c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) {
-		v := view.New(s.ID, at, members)
-		c.views[s.ID] = v
-		return proto.ViewItem(s.Name, v)
-	}))
-}
-
-// sameMembers compares members that were published with new ones, which it
-// sorts as view.New does.
-func sameMembers(published, members []view.BackendServer) bool {
-	slices.SortFunc(members, func(a, b view.BackendServer) int { return cmp.Compare(a.ID, b.ID) })
-	return slices.Equal(published, members)
-}
-
-func (c *Control) membersOf(service string) []view.BackendServer {
-	var members []view.BackendServer
-	for _, m := range c.members {
-		if m.announcement.Service == service {
-			members = append(members, c.backendServer(m.announcement))
-		}
-	}
-	return members
-}
-
-func (c *Control) backendServer(a view.Announcement) view.BackendServer {
-	b := view.BackendServer{
-		ID: a.ID, Zone: a.Zone, Incarnation: a.Incarnation,
-		Packets: a.Packets, Requests: a.Requests, Slots: a.Slots,
-		State: view.Ready, Weight: c.configuration.settings(a, c.options.Now()).Weight,
-	}
-	if a.Draining || !a.Healthy || c.configuration.draining[a.ID] {
-		b.State, b.Weight = view.Draining, 0
-	}
-	return b
 }
--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -11,6 +11,9 @@
 
 	"go.uber.org/zap"
 
+	"fulmarmount.org/core/fleet"
+	"fulmarmount.org/core/lease"
+	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/peer"
@@ -33,8 +36,13 @@
 	Log *zap.Logger
 }
 
-// sweepInterval is how often expired leases and exceptions are looked for.
-const sweepInterval = 500 * time.Millisecond
+const (
+	// tickInterval is how often the registry is looked at: for ended leases,
+	// rising weights and views to publish.
+	tickInterval = 100 * time.Millisecond
+	// maxLoads is the number of loads in the answer to one announcement.
+	maxLoads = 64
+)
 
 // Control is one running control process.
 type Control struct {
@@ -46,21 +54,17 @@
 
 	// current is closed once the configuration is known to be current.
 	current chan struct{}
+	started time.Time
 
 	mu            sync.Mutex
 	configuration configuration
 	services      map[string]proto.Service
-	members       map[string]member
-	views         map[view.ServiceID]*view.View
+	names         map[view.ServiceID]string
+	registry      *lease.Registry
+	pending       *pending
 	published     []publication
 }
 
-// member is an announced backend server.
-type member struct {
-	announcement view.Announcement
-	expires      time.Time
-}
-
 // Start opens the socket and serves daemons until Close.
 func Start(o Options) (*Control, error) {
 	publisher, err := subscribe.NewPublisher(subscribe.PublisherOptions{Epoch: o.Epoch, Now: o.Now})
@@ -73,9 +77,10 @@
 		cancel:    cancel,
 		publisher: publisher,
 		current:   make(chan struct{}),
-		members:   make(map[string]member),
-		views:     make(map[view.ServiceID]*view.View),
+		registry:  lease.NewRegistry(registryOptions(fleet.DefaultSettings())),
+		started:   o.Now(),
 	}
+	c.registry.Lead(0, o.Epoch, nil)
 	server, err := peer.Listen(peer.ServerOptions{
 		Addr: o.Listen,
 		TLS:  o.TLS,
@@ -91,7 +96,7 @@
 	}
 	c.server = server
 	go publisher.Run(ctx)
-	go c.sweep(ctx)
+	go c.run(ctx)
 	if o.Fleet != nil {
 		go c.follow(ctx)
 	}
@@ -138,63 +143,50 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	service, ok := c.services[a.Service]
-	lease := c.configuration.settings(a, c.options.Now()).Lease
+	leaseTime := c.configuration.defaults().Lease
 	if !ok {
-		return proto.AnnounceReply{Reason: "no such service", Lease: lease}
-	}
-	known, exists := c.members[a.ID]
-	if exists && older(a, known.announcement) {
-		return proto.AnnounceReply{Reason: "a newer announcement is known", Lease: lease}
+		return proto.AnnounceReply{Reason: "no such service", Lease: leaseTime}
 	}
-	c.members[a.ID] = member{announcement: a, expires: c.options.Now().Add(lease)}
-	if !exists || !sameMember(known.announcement, a) {
-		c.options.Log.Info("Took an announcement.", zap.String("id", a.ID), zap.String("service", a.Service))
-		c.publish(service)
-	}
-	return proto.AnnounceReply{Accepted: true, Lease: lease}
-}
-
-// older reports whether a is a replay or of an earlier run than known.
-func older(a, known view.Announcement) bool {
-	if a.Incarnation != known.Incarnation {
-		return a.Incarnation < known.Incarnation
+	now := c.elapsed()
+	if err := c.registry.Announce(now, service.ID, a); err != nil {
+		return proto.AnnounceReply{Reason: err.Error(), Lease: leaseTime}
 	}
-	return a.Sequence <= known.Sequence
+	return proto.AnnounceReply{Accepted: true, Lease: leaseTime, Loads: c.registry.Loads(now, service.ID, a.ID, maxLoads)}
 }
 
-// sameMember reports whether both announcements lead to the same view.
-func sameMember(a, b view.Announcement) bool {
-	return a.Service == b.Service && a.Incarnation == b.Incarnation &&
-		a.Packets == b.Packets && a.Requests == b.Requests &&
-		a.Draining == b.Draining && a.Healthy == b.Healthy && a.Slots == b.Slots
-}
+func (c *Control) elapsed() time.Duration { return c.options.Now().Sub(c.started) }
 
-// sweep removes members whose lease has ended.
-func (c *Control) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
+// run publishes the registry's views until ctx ends.
+func (c *Control) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			c.expire(c.options.Now())
-			c.expireExceptions(c.options.Now())
+			c.tick()
 		}
 	}
 }
 
-func (c *Control) expire(now time.Time) {
+func (c *Control) tick() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, m := range c.members {
-		if now.Before(m.expires) {
-			continue
-		}
-		delete(c.members, id)
-		c.options.Log.Warn("A lease ended.", zap.String("id", id))
-		if s, ok := c.services[m.announcement.Service]; ok {
-			c.publish(s)
-		}
+	c.expireExceptions(c.options.Now())
+	for _, v := range c.registry.Tick(c.elapsed()) {
+		c.publish(v)
+	}
+	c.notePending(c.options.Now())
+}
+
+// publish hands a view to the subscribers. The caller holds the lock.
+func (c *Control) publish(v *view.View) {
+	name, ok := c.names[v.Service]
+	if !ok {
+		return
 	}
+	c.options.Log.Info("Published a view.", zap.String("service", name),
+		zap.Stringer("version", v.Version), zap.Int("members", len(v.Members)))
+	c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ViewItem(name, at, v) }))
 }
--- a/daemon/internal/role/control/daemons.go
+++ b/daemon/internal/role/control/daemons.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
+	"time"
 
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/daemon/internal/admin"
@@ -20,8 +22,24 @@
 	position spread.Position
 }
 
-// notePosition remembers that revision is published. The caller holds the lock.
-func (c *Control) notePosition(revision uint64) {
+// settleTime is how long the views that a configuration changes may take to be
+// published: the registry holds views of one service apart.
+const settleTime = 300 * time.Millisecond
+
+// pending is a configuration whose views are being published.
+type pending struct {
+	revision uint64
+	due      time.Time
+}
+
+// notePending remembers the position of a configuration once its views are
+// published. The caller holds the lock.
+func (c *Control) notePending(now time.Time) {
+	if c.pending == nil || now.Before(c.pending.due) {
+		return
+	}
+	revision := c.pending.revision
+	c.pending = nil
 	if len(c.published) == maxPublications {
 		c.published = slices.Delete(c.published, 0, 1)
 	}
@@ -70,16 +88,14 @@
 func (c *Control) Members() []admin.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	members := make([]admin.Member, 0, len(c.members))
-	for _, m := range c.members {
-		b := c.backendServer(m.announcement)
-		members = append(members, admin.Member{
-			Service: m.announcement.Service, ID: b.ID, Zone: b.Zone, State: b.State.String(),
-			Weight: b.Weight, Load: m.announcement.Load, Draining: c.configuration.draining[b.ID],
-		})
+	var members []admin.Member
+	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+		for _, b := range c.registry.Status(c.elapsed(), c.services[name].ID) {
+			members = append(members, admin.Member{
+				Service: name, ID: b.ID, Zone: b.Zone, State: b.State, Weight: b.Weight,
+				Flows: b.Flows, Load: b.Load, Reasons: b.Reasons,
+			})
+		}
 	}
-	slices.SortFunc(members, func(a, b admin.Member) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
-	})
 	return members
 }
