--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -115,6 +115,28 @@
 // Stop stops serving. Daemons go on with what they have.
 func (c *Control) Stop(context.Context) error { return c.Close() }
 
+// SetDrained replaces the set of backend servers that operators have drained,
+// for a process without replicated state.
+func (c *Control) SetDrained(ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registry.SetDrained(ids)
+}
+
+// SetWeights replaces the weights, relative to view.FullWeight, of backend
+// servers whose capacity differs from the default, for a process without
+// replicated state.
+func (c *Control) SetWeights(weights map[string]uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registry.SetWeights(func(a *view.Announcement) uint32 {
+		if w, ok := weights[a.ID]; ok {
+			return w
+		}
+		return view.FullWeight
+	})
+}
+
 // check logs what could not be published.
 func (c *Control) check(err error) {
 	if err != nil {
