--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -186,7 +186,8 @@
 		{"one is reported failing", 4, func(f *fleet) { f.agents[1].Healthy = false }, 6 * second, "ready:100/ready:0/ready:100/ready:100"},
 		{"a drained one falls silent", 2, func(f *fleet) { f.r.SetDrained([]string{"host-0"}); silence(f, 0) }, 6 * second, "gone:0/ready:100"},
 		{"all are drained", 2, func(f *fleet) { f.r.SetDrained([]string{"host-0", "host-1"}) }, 6 * second, "draining:0/draining:0"},
-		{"a weight is set", 2, func(f *fleet) { f.r.SetWeights(map[string]uint32{"host-1": 40}) }, second, "ready:100/ready:40"},
+		{"a weight is set", 2, func(f *fleet) { f.r.SetWeights(weights(40)) }, second, "ready:100/ready:40"},
+		{"a weight of 0 is set", 2, func(f *fleet) { f.r.SetWeights(weights(0)) }, second, "ready:100/ready:0"},
 		{"an agent asks to leave", 2, func(f *fleet) { f.agents[0].Draining = true }, 6 * second, "draining:0/ready:100"},
 		{"one flaps", 3, func(f *fleet) {
 			for range 5 {
@@ -437,3 +438,13 @@
 		}
 	})
 }
+
+// weights gives host-1 a weight of its own.
+func weights(of1 uint32) func(*view.Announcement) uint32 {
+	return func(a *view.Announcement) uint32 {
+		if a.ID == "host-1" {
+			return of1
+		}
+		return view.FullWeight
+	}
+}
--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -28,12 +27,14 @@
 	services map[view.ServiceID]*service
 	order    []view.ServiceID // keys of services, sorted
 	drained  map[string]bool
-	weights  map[string]uint32
 	epoch    uint64
 	number   uint64
 	collects time.Duration // the end of the time for collecting announcements
 	leading  bool
 	stats    Stats
+	// weigh returns the weight of a member at full strength; nil stands for
+	// view.FullWeight.
+	weigh func(a *view.Announcement) uint32
 }
 
 // service is the membership of one service.
@@ -216,22 +217,33 @@
 	}
 }
 
-// SetWeights replaces the weights, relative to view.FullWeight, of backend
-// servers whose capacity differs from the default. A weight of 0 counts as none
-// set.
-func (r *Registry) SetWeights(weights map[string]uint32) {
-	r.weights = maps.Clone(weights)
-	for _, s := range r.services {
-		s.dirty = true
-	}
+// SetWeights sets how the weight of a member at full strength is found; nil
+// gives every member view.FullWeight. Set it anew when its results change.
+func (r *Registry) SetWeights(weigh func(a *view.Announcement) uint32) {
+	r.weigh = weigh
+	r.touch()
+}
+
+// SetOptions replaces the options.
+func (r *Registry) SetOptions(o Options) {
+	o.setDefaults()
+	r.options = o
+	r.touch()
 }
 
 // fullWeight returns the weight of a ready member.
-func (r *Registry) fullWeight(id string) uint32 {
-	if w := r.weights[id]; w > 0 {
-		return w
+func (r *Registry) fullWeight(m *member) uint32 {
+	if r.weigh == nil {
+		return view.FullWeight
+	}
+	return r.weigh(&m.announcement)
+}
+
+// touch has every service looked at by the next Tick.
+func (r *Registry) touch() {
+	for _, s := range r.services {
+		s.dirty = true
 	}
-	return view.FullWeight
 }
 
 // Remove forgets a backend server, for an operator who knows that it will not
--- a/daemon/internal/node/changes_test.go
+++ b/daemon/internal/node/changes_test.go
@@ -16,13 +16,13 @@
 
 // changes starts a service with four backend servers behind two balancers.
 type changes struct {
-	*fleet
+	*testFleet
 	echoes []*standin.Echo
 	agents []*agent.Agent
 }
 
 func newChanges(t *testing.T) *changes {
-	c := &changes{fleet: newFleet(t, proto.Service{
+	c := &changes{testFleet: newFleet(t, proto.Service{
 		ID: 1, Name: "floor", Mode: proto.ModePacket, Addresses: []netip.AddrPort{floorAddr},
 	})}
 	for range 4 {
--- a/daemon/internal/proto/proto.go
+++ b/daemon/internal/proto/proto.go
@@ -4,8 +4,10 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
+	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/core/view"
 )
 
@@ -43,10 +45,23 @@
 
 // Service is what daemons need to know of a service.
 type Service struct {
-	ID        view.ServiceID   `cbor:"1,keyasint"`
-	Name      string           `cbor:"2,keyasint"`
-	Mode      Mode             `cbor:"3,keyasint"`
-	Addresses []netip.AddrPort `cbor:"4,keyasint"`
+	ID         view.ServiceID   `cbor:"1,keyasint"`
+	Name       string           `cbor:"2,keyasint"`
+	Mode       Mode             `cbor:"3,keyasint"`
+	Addresses  []netip.AddrPort `cbor:"4,keyasint"`
+	Share      fleet.Share      `cbor:"5,keyasint,omitempty"`
+	Classes    []fleet.Class    `cbor:"6,keyasint,omitempty"`
+	Repeatable []fleet.Route    `cbor:"7,keyasint,omitempty"`
+	// Settings are in force for the service as a whole.
+	Settings fleet.Settings `cbor:"8,keyasint"`
+}
+
+// Equal reports whether both tell daemons the same.
+func (s *Service) Equal(o *Service) bool {
+	return s.ID == o.ID && s.Name == o.Name && s.Mode == o.Mode && s.Share == o.Share && s.Settings == o.Settings &&
+		slices.Equal(s.Addresses, o.Addresses) &&
+		slices.Equal(s.Classes, o.Classes) &&
+		slices.Equal(s.Repeatable, o.Repeatable)
 }
 
 // TunnelOpen asks an agent to connect to its backend server.
