--- a/daemon/internal/ctl/operate.go
+++ b/daemon/internal/ctl/operate.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v4"
@@ -63,7 +64,7 @@
 	a.out("version %d, revision %d, %d services; told by %s", s.Version, s.Revision, s.Services, s.Process)
 	a.out("in force on %d of %d daemons", s.Progress.InForce, s.Progress.Daemons)
 	for _, d := range s.Progress.Missing {
-		a.out("  not on %s: it has revision %d, last seen %s", d.Name, d.Revision, d.LastSeen.Format(time.RFC3339))
+		a.out("  not on %s: it has %s in force%s", d.Name, d.InForce, departed(d))
 	}
 	for _, e := range s.Expired {
 		a.out("exception %q expired %s: %s", e.Name, e.Expires.Format(time.RFC3339), e.Reason)
@@ -80,14 +81,22 @@
 	return a.replicas(s.Replicas)
 }
 
+func departed(d admin.Daemon) string {
+	if d.Departed {
+		return ", and its connection is lost"
+	}
+	return ""
+}
+
 func (a *app) members(members []admin.Member) error {
 	if len(members) == 0 {
 		return nil
 	}
-	rows := [][]string{{"SERVICE", "BACKEND SERVER", "ZONE", "STATE", "WEIGHT", "LOAD", "DRAIN"}}
+	rows := [][]string{{"SERVICE", "BACKEND SERVER", "ZONE", "STATE", "WEIGHT", "FLOWS", "LOAD", "REASONS"}}
 	for _, m := range members {
 		rows = append(rows, []string{
-			m.Service, m.ID, m.Zone, m.State, strconv.Itoa(int(m.Weight)), strconv.Itoa(int(m.Load)), yes(m.Draining),
+			m.Service, m.ID, m.Zone, m.State, strconv.Itoa(int(m.Weight)),
+			strconv.Itoa(int(m.Flows)), strconv.Itoa(int(m.Load)), strings.Join(m.Reasons, "; "),
 		})
 	}
 	return a.table(rows)
@@ -174,6 +183,7 @@
 					return client.RemoveReplica(ctx, args[0])
 				}),
 			},
+			a.recoverCommand(),
 		},
 	}
 }
--- a/daemon/internal/role/balancer/handover.go
+++ b/daemon/internal/role/balancer/handover.go
@@ -160,7 +160,7 @@
 	for _, v := range u.Views {
 		v.Prepare()
 	}
-	b.table.adopt(u)
+	b.forwarder.adopt(b.table.adopt(u), u.Views)
 	b.inherited = u.Services
 }
 
