Agents replace a silent connection to control before their lease ends

An announcement that got no answer was tried again on the pooled connection, which a middlebox that has lost track of it swallows until the transport gives up, long after the lease. A fresh connection from a new port is now tried at once, and counted.

--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -35,6 +35,7 @@
 	bind    settings.Bind
 	control *control.Control
 	agents  int
+	via     netip.AddrPort // where control is reached, if not at its own address
 }
 
 func newFleet(t *testing.T, services ...proto.Service) *fleet {
@@ -65,6 +66,9 @@
 	if f.control != nil {
 		s.Join.Control = []netip.AddrPort{f.control.Addr()}
 	}
+	if f.via.IsValid() {
+		s.Join.Control = []netip.AddrPort{f.via}
+	}
 	return Options{Settings: &s, Identity: identity, Ring: f.set.Ring, Spray: 2, Now: time.Now, Log: zap.NewNop()}
 }
 
--- a/daemon/internal/role/agent/announce.go
+++ b/daemon/internal/role/agent/announce.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
 	"fulmarmount.org/daemon/internal/subscribe"
 )
@@ -16,25 +19,36 @@
 	// renewInterval is the time between announcements: a third of the lease,
 	// so that two may be lost.
 	renewInterval = 1 * time.Second
-	// answerLimit bounds the wait for the answer to an announcement.
-	answerLimit = 2 * time.Second
+	// answerLimit bounds the wait for the answer to an announcement. A fresh
+	// connection tried after it still renews the lease in time.
+	answerLimit = 1 * time.Second
 )
 
-// announce renews the agent's lease until ctx ends.
+// announce renews the agent's lease until ctx ends. A connection that goes
+// silent says nothing about control: a fresh one, from a new port, is tried at
+// once before another control process is.
 func (a *Agent) announce(ctx context.Context) {
 	var sequence uint64
 	for i := 0; ctx.Err() == nil; i++ {
 		control := a.options.Control[i%len(a.options.Control)]
-		if err := a.renew(ctx, control, &sequence); err != nil && ctx.Err() == nil {
+		err := a.renew(ctx, control, a.pool.Open, &sequence)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			a.stats.Silent.Add(1)
+			err = a.renew(ctx, control, a.pool.OpenFresh, &sequence)
+		}
+		if err != nil && ctx.Err() == nil {
 			a.options.Log.Warn("Lost the lease's connection.", zap.Stringer("control", control), zap.Error(err))
 		}
 		subscribe.Sleep(ctx, subscribe.Jitter(renewInterval))
 	}
 }
 
+// opener opens a stream to a control process.
+type opener func(ctx context.Context, addr netip.AddrPort, kind string) (*peer.Stream, error)
+
 // renew announces on one stream until it fails.
-func (a *Agent) renew(ctx context.Context, control netip.AddrPort, sequence *uint64) error {
-	s, err := a.pool.Open(ctx, control, proto.Announce)
+func (a *Agent) renew(ctx context.Context, control netip.AddrPort, open opener, sequence *uint64) error {
+	s, err := open(ctx, control, proto.Announce)
 	if err != nil {
 		return err
 	}
--- a/daemon/internal/role/agent/dump.go
+++ b/daemon/internal/role/agent/dump.go
@@ -49,6 +49,7 @@
 	Refused   uint64 `json:"refused"`
 	Failed    uint64 `json:"failed"`
 	Relayed   uint64 `json:"relayed"`
+	Silent    uint64 `json:"silent"`
 
 	ControlSent  uint64 `json:"control_sent"`
 	ControlBytes uint64 `json:"control_bytes"`
@@ -111,6 +112,7 @@
 		Refused:   a.stats.Refused.Load(),
 		Failed:    a.stats.Failed.Load(),
 		Relayed:   a.stats.Relayed.Load(),
+		Silent:    a.stats.Silent.Load(),
 
 		ControlSent:  a.stats.ControlSent.Load(),
 		ControlBytes: a.stats.ControlBytes.Load(),
--- a/daemon/internal/role/agent/packets.go
+++ b/daemon/internal/role/agent/packets.go
@@ -20,6 +20,7 @@
 	Refused   atomic.Uint64 // envelopes that were forged, replayed or not for here
 	Failed    atomic.Uint64 // a socket did not take the packet
 	Relayed   atomic.Uint64 // sent on to another agent
+	Silent    atomic.Uint64 // connections to control that went silent and were replaced
 
 	ControlSent  atomic.Uint64 // messages about flow ownership to other agents
 	ControlBytes atomic.Uint64 // bytes of them, envelopes included
