Bound the rate at which an owner pushes pointers

A drained host of 2,000 flows pushed 68,000 bytes of pointers in one tick. The agent now sends one batch of 40 every 50 ms; the earlier picks that packets name for 30 s cover the 5 s that takes.

go test -bench . ./core/locator at 2,000 flows on one of seven hosts: 3,872 bytes in 4 messages when a host joins, 68,000 in 68 when the owner is drained.

--- a/core/locator/locator.go
+++ b/core/locator/locator.go
@@ -59,6 +59,9 @@
 	Flows Flows
 	// BatchSize is the number of pointers in a batch at most.
 	BatchSize int
+	// BatchesPerTick is the number of batches that one Tick sends at most, which
+	// bounds the rate of pushing.
+	BatchesPerTick int
 	// RetryAfter is the wait for an acknowledgement before the first resend. It
 	// doubles with each resend up to RetryLimit.
 	RetryAfter time.Duration
@@ -71,6 +74,9 @@
 	if o.BatchSize == 0 {
 		o.BatchSize = 64
 	}
+	if o.BatchesPerTick == 0 {
+		o.BatchesPerTick = 8
+	}
 	if o.RetryAfter == 0 {
 		o.RetryAfter = 200 * time.Millisecond
 	}
@@ -267,10 +273,11 @@
 	}
 	var out []Message
 	out = p.answers(out)
+	limit := len(out) + p.options.BatchesPerTick
 	for _, seed := range slices.Sorted(maps.Keys(p.holders)) {
 		h := p.holders[seed]
-		out = p.resend(out, h, now)
-		out = p.send(out, h, now)
+		out = p.resend(out, h, now, limit)
+		out = p.send(out, h, now, limit)
 	}
 	return out
 }
@@ -306,10 +313,10 @@
 
 // resend appends the batches that have waited too long for their
 // acknowledgement, without the flows that have ended.
-func (p *Pusher) resend(out []Message, h *holder, now time.Duration) []Message {
+func (p *Pusher) resend(out []Message, h *holder, now time.Duration, limit int) []Message {
 	for i := range h.sent {
 		s := &h.sent[i]
-		if now < s.due {
+		if now < s.due || len(out) >= limit {
 			continue
 		}
 		s.flows = slices.DeleteFunc(s.flows, func(id flow.ID) bool { return !p.options.Flows.Owns(id) })
@@ -324,18 +331,22 @@
 	return out
 }
 
-// send appends batches of the pending pointers.
-func (p *Pusher) send(out []Message, h *holder, now time.Duration) []Message {
-	for chunk := range slices.Chunk(h.pending, p.options.BatchSize) {
+// send appends batches of the pending pointers until out holds limit messages.
+func (p *Pusher) send(out []Message, h *holder, now time.Duration, limit int) []Message {
+	for len(h.pending) > 0 && len(out) < limit {
+		n := min(len(h.pending), p.options.BatchSize)
 		p.sequence++
 		s := sentBatch{
-			sequence: p.sequence, flows: slices.Clone(chunk),
+			sequence: p.sequence, flows: slices.Clone(h.pending[:n]),
 			due: now + p.options.RetryAfter, wait: p.options.RetryAfter,
 		}
+		h.pending = h.pending[n:]
 		h.sent = append(h.sent, s)
 		out = append(out, p.message(h, &s))
 	}
-	h.pending = nil
+	if len(h.pending) == 0 {
+		h.pending = nil
+	}
 	return out
 }
 
--- a/daemon/internal/role/agent/owner.go
+++ b/daemon/internal/role/agent/owner.go
@@ -20,6 +20,8 @@
 	// batchPointers is the number of pointers in a message, which fits the
 	// smallest MTU of the internet.
 	batchPointers = 40
+	// batchesPerPush bounds pushing to 800 pointers a second.
+	batchesPerPush = 1
 )
 
 // owner decides about the flows of this agent. It keeps the decisions' clock
@@ -43,9 +45,11 @@
 		HistoryWindow: historyWindow,
 	})
 	return owner{
-		self:    self,
-		flows:   flows,
-		pusher:  locator.New(locator.Options{Self: self, Flows: flows, BatchSize: batchPointers, RefreshEvery: refreshEvery}),
+		self:  self,
+		flows: flows,
+		pusher: locator.New(locator.Options{
+			Self: self, Flows: flows, BatchSize: batchPointers, BatchesPerTick: batchesPerPush, RefreshEvery: refreshEvery,
+		}),
 		now:     o.Now,
 		started: o.Now(),
 	}
