agent: announce once the service is known

An agent announced itself as healthy before it had adopted its service, so a balancer could send it a connection that it had to refuse: about one run in ten of TestRequestOverTCPReachesItsService ended in a reset. The first announcement now waits for the service's ID, at most 2 s, and then tells control that the agent cannot serve yet. The node tests take ports of their own process, since sprayed addresses may be bound twice and two runs on one host took each other's packets.

--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -120,11 +121,20 @@
 }
 
 var (
-	floorAddr     = netip.MustParseAddrPort("127.0.40.1:4000")
-	deskAddr      = netip.MustParseAddrPort("127.0.40.2:4000")
-	catalogueAddr = netip.MustParseAddrPort("127.0.40.3:4000")
+	floorAddr     = serviceAddr(1)
+	deskAddr      = serviceAddr(2)
+	catalogueAddr = serviceAddr(3)
 )
 
+// serviceAddr returns an address on a port of this process's own: sprayed
+// addresses may be bound twice, so another run of the tests on the same host
+// would take packets of this one.
+func serviceAddr(service byte) netip.AddrPort {
+	const first, ports = 10_000, 20_000 // Below the ports that the kernel gives out.
+	port := first + os.Getpid()%ports
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 40, service}), uint16(port))
+}
+
 func TestDatagramsOfOneFlowSprayedOverTwoBalancersReachOneServer(t *testing.T) {
 	for _, bind := range []settings.Bind{settings.BindAddresses, settings.BindWildcard} {
 		t.Run(string(bind), func(t *testing.T) { testSprayedFlows(t, bind) })
--- a/daemon/internal/role/agent/agent.go
+++ b/daemon/internal/role/agent/agent.go
@@ -76,6 +76,9 @@
 	tasks     sync.WaitGroup
 	tunnels   atomic.Int64
 	draining  atomic.Bool
+	// known is closed once the agent knows the ID of its service.
+	known     chan struct{}
+	knownOnce sync.Once
 	// left is closed once control has taken an announcement of draining.
 	left     chan struct{}
 	leftOnce sync.Once
@@ -96,6 +99,7 @@
 		envelopes: envelopes,
 		pool:      peer.NewPool(o.ClientTLS),
 		cancel:    cancel,
+		known:     make(chan struct{}),
 		left:      make(chan struct{}),
 	}
 	a.flows.init()
@@ -168,6 +172,7 @@
 	for _, s := range u.Services {
 		if s.Name == a.options.Service {
 			a.service.Store(uint32(s.ID))
+			a.knownOnce.Do(func() { close(a.known) })
 		}
 	}
 }
--- a/daemon/internal/role/agent/announce.go
+++ b/daemon/internal/role/agent/announce.go
@@ -18,10 +18,18 @@
 	renewInterval = 1 * time.Second
 	// answerLimit bounds the wait for the answer to an announcement.
 	answerLimit = 2 * time.Second
+	// knownLimit is how long the first announcement waits for the agent to
+	// know its service. Until then it could only refuse work.
+	knownLimit = 2 * time.Second
 )
 
 // announce renews the agent's lease until ctx ends.
 func (a *Agent) announce(ctx context.Context) {
+	select {
+	case <-a.known:
+	case <-ctx.Done():
+	case <-time.After(knownLimit): // Control shows an agent without a service.
+	}
 	var sequence uint64
 	for i := 0; ctx.Err() == nil; i++ {
 		control := a.options.Control[i%len(a.options.Control)]
@@ -75,7 +83,7 @@
 		Packets:     a.envelopes.Addr(),
 		Requests:    a.server.Addr(),
 		Slots:       a.options.Slots,
-		Healthy:     true,
+		Healthy:     a.service.Load() != 0,
 		Draining:    a.draining.Load(),
 		Sequence:    sequence,
 	}
