--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -52,7 +52,7 @@
 		want   string
 	}{
 		{"none", func(*Document) {}, ""},
-		{"default out of range", func(d *Document) { d.Defaults.Lease = time.Hour }, "[defaults] lease: 1h0m0s is outside 1s to 5m0s"},
+		{"default out of range", func(d *Document) { d.Defaults.Lease = time.Hour }, "[defaults] lease: 1h0m0s is outside 2s to 5m0s"},
 		{"name", func(d *Document) { d.Services[0].Name = "Cat" }, `[service.Cat] "Cat" is not a name`},
 		{"mode", func(d *Document) { d.Services[0].Mode = "tcp" }, `[service.catalogue] mode: "tcp" is none of`},
 		{"no address", func(d *Document) { d.Services[0].Addresses = nil }, "[service.catalogue] addresses: 0 addresses"},
--- a/core/lease/publish.go
+++ b/core/lease/publish.go
@@ -140,9 +140,9 @@
 	case excluded:
 		return m.phase, 0
 	case m.phase == view.Warming && r.othersReady(s, m):
-		return view.Warming, r.warmWeight(now - m.since)
+		return view.Warming, r.warmWeight(r.fullWeight(m), now-m.since)
 	}
-	return m.phase, view.FullWeight
+	return m.phase, r.fullWeight(m)
 }
 
 // othersReady reports whether the service has members at full weight, beside
@@ -156,11 +156,12 @@
 	return false
 }
 
-// warmWeight returns the weight of a member that has been warming for d.
-func (r *Registry) warmWeight(d time.Duration) uint32 {
+// warmWeight returns the weight of a member of the given full weight that has
+// been warming for d.
+func (r *Registry) warmWeight(full uint32, d time.Duration) uint32 {
 	steps := time.Duration(r.options.WarmSteps)
 	step := min(d*steps/r.options.WarmFor+1, steps)
-	return uint32(view.FullWeight * step / (steps + 1))
+	return max(min(1, full), full*uint32(step)/uint32(steps+1))
 }
 
 // differs reports whether a view's member has to be published anew.
--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -9,6 +9,7 @@
 
 // Stats are a Registry's counts since its start.
 type Stats struct {
+	Members       int    // registered now
 	Announcements uint64 // taken
 	Replayed      uint64 // refused as older than one already taken
 	Invalid       uint64 // refused for a missing field
@@ -31,6 +32,9 @@
 	collects time.Duration // the end of the time for collecting announcements
 	leading  bool
 	stats    Stats
+	// weigh returns the weight of a member at full strength; nil stands for
+	// view.FullWeight.
+	weigh func(a *view.Announcement) uint32
 }
 
 // service is the membership of one service.
@@ -213,6 +217,35 @@
 	}
 }
 
+// SetWeights sets how the weight of a member at full strength is found; nil
+// gives every member view.FullWeight. Set it anew when its results change.
+func (r *Registry) SetWeights(weigh func(a *view.Announcement) uint32) {
+	r.weigh = weigh
+	r.touch()
+}
+
+// SetOptions replaces the options.
+func (r *Registry) SetOptions(o Options) {
+	o.setDefaults()
+	r.options = o
+	r.touch()
+}
+
+// fullWeight returns the weight of a ready member.
+func (r *Registry) fullWeight(m *member) uint32 {
+	if r.weigh == nil {
+		return view.FullWeight
+	}
+	return r.weigh(&m.announcement)
+}
+
+// touch has every service looked at by the next Tick.
+func (r *Registry) touch() {
+	for _, s := range r.services {
+		s.dirty = true
+	}
+}
+
 // Remove forgets a backend server, for an operator who knows that it will not
 // return. The error is of type ErrUnknown.
 func (r *Registry) Remove(id string) error {
@@ -272,4 +305,8 @@
 }
 
 // Stats returns the counts.
-func (r *Registry) Stats() Stats { return r.stats }
+func (r *Registry) Stats() Stats {
+	s := r.stats
+	s.Members = len(r.members)
+	return s
+}
--- a/daemon/internal/role/agent/announce.go
+++ b/daemon/internal/role/agent/announce.go
@@ -18,18 +18,10 @@
 	renewInterval = 1 * time.Second
 	// answerLimit bounds the wait for the answer to an announcement.
 	answerLimit = 2 * time.Second
-	// knownLimit is how long the first announcement waits for the agent to
-	// know its service. Until then it could only refuse work.
-	knownLimit = 2 * time.Second
 )
 
 // announce renews the agent's lease until ctx ends.
 func (a *Agent) announce(ctx context.Context) {
-	select {
-	case <-a.known:
-	case <-ctx.Done():
-	case <-time.After(knownLimit): // Control shows an agent without a service.
-	}
 	var sequence uint64
 	for i := 0; ctx.Err() == nil; i++ {
 		control := a.options.Control[i%len(a.options.Control)]
@@ -62,6 +54,7 @@
 		if err := s.Recv(&reply); err != nil {
 			return err
 		}
+		a.owner.flows.SetLoads(reply.Loads)
 		if announcement.Draining && reply.Accepted {
 			a.leftOnce.Do(func() { close(a.left) })
 		}
@@ -75,6 +68,10 @@
 }
 
 func (a *Agent) announcement(sequence uint64) view.Announcement {
+	var holds view.Version
+	if v := a.owner.flows.View(); v != nil && a.service.Load() != 0 {
+		holds = v.Version
+	}
 	return view.Announcement{
 		Service:     a.options.Service,
 		ID:          a.options.ID,
@@ -83,8 +80,10 @@
 		Packets:     a.envelopes.Addr(),
 		Requests:    a.server.Addr(),
 		Slots:       a.options.Slots,
-		Healthy:     a.service.Load() != 0,
+		Healthy:     true,
 		Draining:    a.draining.Load(),
 		Sequence:    sequence,
+		Holds:       holds,
+		Flows:       uint32(a.owner.flows.Flows()),
 	}
 }
