--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -28,8 +29,8 @@
 // fleet works.
 const patience = 30 * time.Second
 
-// fleet is a whole fleet within the test's process.
-type fleet struct {
+// testFleet is a whole fleet within the test's process.
+type testFleet struct {
 	t       *testing.T
 	set     *keys.Set
 	bind    settings.Bind
@@ -38,13 +39,19 @@
 	via     netip.AddrPort // where control is reached, if not at its own address
 }
 
-func newFleet(t *testing.T, services ...proto.Service) *fleet {
+// newEmptyFleet returns a fleet without processes.
+func newEmptyFleet(t *testing.T) *testFleet {
 	t.Helper()
 	set, err := keys.Ephemeral(time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{t: t, set: set}
+	return &testFleet{t: t, set: set}
+}
+
+func newFleet(t *testing.T, services ...proto.Service) *testFleet {
+	t.Helper()
+	f := newEmptyFleet(t)
 	running, err := startControl(f.options("control", settings.Process{
 		Control: settings.Control{Listen: netip.MustParseAddrPort("127.0.0.1:0")},
 	}))
@@ -57,7 +64,7 @@
 	return f
 }
 
-func (f *fleet) options(name string, s settings.Process) Options {
+func (f *testFleet) options(name string, s settings.Process) Options {
 	identity, err := f.set.Identity(name, time.Now())
 	if err != nil {
 		f.t.Fatal(err)
@@ -72,7 +79,7 @@
 	return Options{Settings: &s, Identity: identity, Ring: f.set.Ring, Spray: 2, Now: time.Now, Log: zap.NewNop()}
 }
 
-func (f *fleet) balancer(name string) *balancer.Balancer {
+func (f *testFleet) balancer(name string) *balancer.Balancer {
 	running, err := startBalancer(f.options(name, settings.Process{Balancer: settings.Balancer{
 		Packets: netip.MustParseAddrPort("127.0.0.1:0"),
 		MTU:     1500,
@@ -85,7 +92,7 @@
 	return running.(*balancer.Balancer)
 }
 
-func (f *fleet) agent(service string, backend netip.AddrPort) *agent.Agent {
+func (f *testFleet) agent(service string, backend netip.AddrPort) *agent.Agent {
 	f.agents++
 	name := fmt.Sprintf("%s-%d", service, f.agents)
 	running, err := startAgent(f.options(name, settings.Process{Zone: "zone-a"}), settings.Agent{
@@ -124,11 +131,20 @@
 }
 
 var (
-	floorAddr     = netip.MustParseAddrPort("127.0.40.1:4000")
-	deskAddr      = netip.MustParseAddrPort("127.0.40.2:4000")
-	catalogueAddr = netip.MustParseAddrPort("127.0.40.3:4000")
+	floorAddr     = testAddr(0)
+	deskAddr      = testAddr(1)
+	catalogueAddr = testAddr(2)
 )
 
+// testAddr returns service address n of this process. No other running test
+// process has its port: balancers share ports, with wildcard sockets on every
+// address, so two processes with one port would take each other's packets.
+func testAddr(n int) netip.AddrPort {
+	const firstPort, processes, addresses = 10_000, 7_000, 3 // below the ephemeral ports
+	port := firstPort + os.Getpid()%processes*addresses + n
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 40, byte(1 + n)}), uint16(port))
+}
+
 func TestDatagramsOfOneFlowSprayedOverTwoBalancersReachOneServer(t *testing.T) {
 	for _, bind := range []settings.Bind{settings.BindAddresses, settings.BindWildcard} {
 		t.Run(string(bind), func(t *testing.T) { testSprayedFlows(t, bind) })
--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -6,12 +6,12 @@
 	"context"
 	"crypto/tls"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
@@ -29,14 +29,14 @@
 	TLS *tls.Config
 	// Epoch is the epoch of the views this process publishes.
 	Epoch uint64
+	// Fleet is the replicated state, nil where SetServices is used instead.
+	Fleet Fleet
 	// Now is the clock.
 	Now func() time.Time
 	Log *zap.Logger
 }
 
 const (
-	// leaseTime is how long an announcement holds.
-	leaseTime = 3 * time.Second
 	// tickInterval is how often the registry is looked at: for ended leases,
 	// rising weights and views to publish.
 	tickInterval = 100 * time.Millisecond
@@ -52,10 +52,17 @@
 
 	publisher *subscribe.Publisher
 
-	mu       sync.Mutex
-	services []proto.Service
-	registry *lease.Registry
-	started  time.Time
+	// current is closed once the configuration is known to be current.
+	current chan struct{}
+	started time.Time
+
+	mu            sync.Mutex
+	configuration configuration
+	services      map[string]proto.Service
+	names         map[view.ServiceID]string
+	registry      *lease.Registry
+	pending       *pending
+	published     []publication
 }
 
 // Start opens the socket and serves daemons until Close.
@@ -69,7 +76,8 @@
 		options:   o,
 		cancel:    cancel,
 		publisher: publisher,
-		registry:  lease.NewRegistry(lease.Options{Lease: leaseTime}),
+		current:   make(chan struct{}),
+		registry:  lease.NewRegistry(registryOptions(fleet.DefaultSettings())),
 		started:   o.Now(),
 	}
 	c.registry.Lead(0, o.Epoch, nil)
@@ -79,7 +87,7 @@
 		Log:  o.Log,
 		Handlers: map[string]peer.Handler{
 			proto.Announce:  c.announce,
-			proto.Subscribe: publisher.Handle,
+			proto.Subscribe: c.subscribe,
 		},
 	})
 	if err != nil {
@@ -89,6 +97,9 @@
 	c.server = server
 	go publisher.Run(ctx)
 	go c.run(ctx)
+	if o.Fleet != nil {
+		go c.follow(ctx)
+	}
 	return c, nil
 }
 
@@ -104,22 +115,8 @@
 // Stop stops serving. Daemons go on with what they have.
 func (c *Control) Stop(context.Context) error { return c.Close() }
 
-// SetServices replaces the services.
-func (c *Control) SetServices(services []proto.Service) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range c.services {
-		if !slices.ContainsFunc(services, func(n proto.Service) bool { return n.Name == s.Name }) {
-			c.remove(s)
-		}
-	}
-	c.services = services
-	for _, s := range services {
-		c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ServiceItem(s, at) }))
-	}
-}
-
-// SetDrained replaces the set of backend servers that operators have drained.
+// SetDrained replaces the set of backend servers that operators have drained,
+// for a process without replicated state.
 func (c *Control) SetDrained(ids []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -127,18 +124,17 @@
 }
 
 // SetWeights replaces the weights, relative to view.FullWeight, of backend
-// servers whose capacity differs from the default.
+// servers whose capacity differs from the default, for a process without
+// replicated state.
 func (c *Control) SetWeights(weights map[string]uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.registry.SetWeights(weights)
-}
-
-// remove deletes a service and its view. The caller holds the lock.
-func (c *Control) remove(s proto.Service) {
-	c.registry.RemoveService(s.ID)
-	c.check(c.publisher.Delete(proto.ServiceKey(s.Name)))
-	c.check(c.publisher.Delete(proto.ViewKey(s.Name)))
+	c.registry.SetWeights(func(a *view.Announcement) uint32 {
+		if w, ok := weights[a.ID]; ok {
+			return w
+		}
+		return view.FullWeight
+	})
 }
 
 // check logs what could not be published.
@@ -168,7 +164,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	service, ok := c.service(a.Service)
+	service, ok := c.services[a.Service]
+	leaseTime := c.configuration.defaults().Lease
 	if !ok {
 		return proto.AnnounceReply{Reason: "no such service", Lease: leaseTime}
 	}
@@ -181,15 +178,6 @@
 
 func (c *Control) elapsed() time.Duration { return c.options.Now().Sub(c.started) }
 
-func (c *Control) service(name string) (proto.Service, bool) {
-	for _, s := range c.services {
-		if s.Name == name {
-			return s, true
-		}
-	}
-	return proto.Service{}, false
-}
-
 // run publishes the registry's views until ctx ends.
 func (c *Control) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -207,18 +195,19 @@
 func (c *Control) tick() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.expireExceptions(c.options.Now())
 	for _, v := range c.registry.Tick(c.elapsed()) {
 		c.publish(v)
 	}
+	c.notePending(c.options.Now())
 }
 
 // publish hands a view to the subscribers. The caller holds the lock.
 func (c *Control) publish(v *view.View) {
-	i := slices.IndexFunc(c.services, func(s proto.Service) bool { return s.ID == v.Service })
-	if i < 0 {
+	name, ok := c.names[v.Service]
+	if !ok {
 		return
 	}
-	name := c.services[i].Name
 	c.options.Log.Info("Published a view.", zap.String("service", name),
 		zap.Stringer("version", v.Version), zap.Int("members", len(v.Members)))
 	c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ViewItem(name, at, v) }))
--- a/daemon/internal/role/control/dump.go
+++ b/daemon/internal/role/control/dump.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 
 	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/view"
@@ -12,6 +14,7 @@
 type Dump struct {
 	Listen   netip.AddrPort  `json:"listen"`
 	Version  view.Version    `json:"version"`
+	Revision uint64          `json:"revision"`
 	Services []proto.Service `json:"services"`
 	// BackendServers are the members of all services, with what keeps them from
 	// new flows.
@@ -22,8 +25,10 @@
 func (c *Control) Dump() any {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := Dump{Listen: c.server.Addr(), Version: c.publisher.Position(), Services: c.services}
-	for _, s := range c.services {
+	d := Dump{Listen: c.server.Addr(), Version: c.publisher.Position(), Revision: c.configuration.revision}
+	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+		s := c.services[name]
+		d.Services = append(d.Services, s)
 		d.BackendServers = append(d.BackendServers, c.registry.Status(c.elapsed(), s.ID)...)
 	}
 	return d
