Log whole documents as the change that they make

An apply of a large fleet put the whole document into the log, some MB for a change of one service. The admin interface now turns it into the patch against the version that it expects; the comparison with the whole document's version stays, and a resend makes the same patch as long as that version is kept. In a test with 100 services a change of one logs one item.

--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -10,7 +10,8 @@
 
 // The kinds of commands.
 const (
-	// KindApply replaces the whole document.
+	// KindApply replaces the whole document. Its content is either the document
+	// or the patch that makes it of the expected version.
 	KindApply Kind = iota + 1
 	// KindPatch changes single items.
 	KindPatch
@@ -66,9 +67,10 @@
 	// it to be the current one. Patch needs the items that it touches to be
 	// unchanged since.
 	Expected uint64 `cbor:"6,keyasint" json:"expected"`
-	// Document is set for KindApply. The machine keeps it.
+	// Document is the content of KindApply. The machine keeps it.
 	Document *Document `cbor:"7,keyasint,omitempty" json:"document,omitempty"`
-	// Patch is set for KindPatch. The machine keeps it.
+	// Patch is the content of KindPatch, or of KindApply in place of Document.
+	// The machine keeps it.
 	Patch *Patch `cbor:"8,keyasint,omitempty" json:"patch,omitempty"`
 	// Version is set for KindRollback: the version to return to.
 	Version uint64 `cbor:"9,keyasint,omitempty" json:"version,omitempty"`
@@ -154,8 +156,8 @@
 	}
 	switch c.Kind {
 	case KindApply:
-		if c.Document == nil {
-			add("document", "a document is required")
+		if (c.Document == nil) == (c.Patch == nil) {
+			add("document", "either a document or a patch is required")
 		}
 	case KindPatch:
 		if c.Patch == nil {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -165,6 +165,9 @@
 	rollback := func(id string, expected, to uint64) Command {
 		return Command{Kind: KindRollback, RequestID: id, Expected: expected, Version: to}
 	}
+	whole := func(id string, expected uint64) Command {
+		return Command{Kind: KindApply, RequestID: id, Expected: expected, Patch: &Patch{DeleteServices: []string{"one"}}}
+	}
 	drain := Command{Kind: KindDrain, BackendServer: "one-1"}
 	type step struct {
 		command Command
@@ -185,6 +188,7 @@
 		{"patches of two services", []step{{put("a", 0, service("one", 1)), Accepted, 1}, {put("b", 0, service("two", 2)), Accepted, 2}}},
 		{"patches of one service", []step{{put("a", 0, service("one", 1)), Accepted, 1}, {put("b", 0, service("one", 2)), Conflict, 1}, {put("c", 1, service("one", 2)), Accepted, 2}}},
 		{"patches that take one address", []step{{put("a", 0, service("one", 1)), Accepted, 1}, {put("b", 0, service("two", 1)), Invalid, 1}}},
+		{"whole document as a patch", []step{{apply("a", 0, one), Accepted, 1}, {whole("b", 1), Accepted, 2}, {whole("c", 1), Conflict, 2}, {whole("b", 1), Accepted, 2}}},
 		{"patch from the future", []step{{put("a", 5, service("one", 1)), Conflict, 0}}},
 		{"rollback is a new version", []step{{apply("a", 0, one), Accepted, 1}, {apply("b", 1, two), Accepted, 2}, {rollback("c", 2, 1), Accepted, 3}, {rollback("d", 2, 1), Conflict, 3}, {rollback("e", 3, 9), NotFound, 3}}},
 		{"drain leaves the version", []step{{apply("a", 0, one), Accepted, 1}, {drain, Accepted, 1}, {drain, Accepted, 1}, {apply("b", 1, two), Accepted, 2}}},
--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -125,7 +125,10 @@
 	if c.Expected != m.version {
 		return m.result(Conflict)
 	}
-	return m.install(c, c.Document)
+	if c.Document != nil {
+		return m.install(c, c.Document)
+	}
+	return m.install(c, c.Patch.Apply(m.document))
 }
 
 func (m *Machine) patch(c *Command) Result {
--- a/daemon/internal/admin/admin_test.go
+++ b/daemon/internal/admin/admin_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
@@ -121,6 +123,57 @@
 	is.Equal(result.Version, uint64(1))
 }
 
+// recordingStore remembers the last command.
+type recordingStore struct {
+	Store
+	last fleet.Command
+}
+
+func (s *recordingStore) Propose(ctx context.Context, c fleet.Command) (fleet.Result, error) {
+	s.last = c
+	return s.Store.Propose(ctx, c)
+}
+
+func TestDocumentsAreLoggedAsTheirChange(t *testing.T) {
+	is := is.New(t)
+	ctx, o := context.Background(), options(t)
+	store := &recordingStore{Store: o.Store}
+	o.Store = store
+	start(t, o)
+	client := NewClient(ClientOptions{Socket: o.Socket})
+	defer client.Close()
+	wide := apply("a")
+	for i := range 100 {
+		wide.Document.Services = append(wide.Document.Services, fleet.Service{
+			Name: fmt.Sprintf("service-%d", i), Mode: fleet.ModePacket,
+			Addresses: []netip.AddrPort{netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1+i))},
+		})
+	}
+	_, err := client.Propose(ctx, wide)
+	is.NoErr(err)
+	change := wide
+	change.RequestID, change.Expected = "b", 1
+	change.Document.Services[7].Share = 1_000
+	for range 2 { // the second one is a resend
+		result, err := client.Propose(ctx, change)
+		is.NoErr(err)
+		is.Equal(result, fleet.Result{Outcome: fleet.Accepted, Version: 2, Revision: 2})
+		is.True(store.last.Document == nil)
+		is.Equal(store.last.Patch.Size(), 1)
+	}
+	change.RequestID = "c"
+	result, err := client.Propose(ctx, change)
+	is.NoErr(err)
+	is.Equal(result.Outcome, fleet.Conflict)
+	change.Expected = 9
+	result, err = client.Propose(ctx, change)
+	is.NoErr(err)
+	is.Equal(result, fleet.Result{Outcome: fleet.Conflict, Version: 2, Revision: 2})
+	current, err := client.Current(ctx)
+	is.NoErr(err)
+	is.Equal(len(current.Document.Services), 100)
+}
+
 func TestRefusals(t *testing.T) {
 	o := options(t)
 	empty := Options{Name: "vm-2", Now: time.Now, Log: zap.NewNop()}
--- a/daemon/internal/admin/handler.go
+++ b/daemon/internal/admin/handler.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"mime"
@@ -86,7 +87,7 @@
 	}
 	c.Author = author(r, c.Author)
 	c.At = h.options.Now()
-	result, err := h.options.Store.Propose(r.Context(), c)
+	result, err := h.propose(r.Context(), c)
 	if err != nil {
 		fail(w, err)
 		return
@@ -97,6 +98,29 @@
 	write(w, statusOf[result.Outcome], result)
 }
 
+// propose runs a command. A whole document goes into the log as the patch that
+// makes it of the version it expects, so that a small change of a large fleet
+// stays small. A resend gives the same patch as long as that version is kept.
+func (h *handler) propose(ctx context.Context, c fleet.Command) (fleet.Result, error) {
+	if c.Kind != fleet.KindApply || c.Document == nil {
+		return h.options.Store.Propose(ctx, c)
+	}
+	c.Document.Normalize()
+	var expected *fleet.Document
+	var kept bool
+	conflict := fleet.Result{Outcome: fleet.Conflict}
+	err := h.options.Store.Read(ctx, func(m *fleet.Machine) {
+		expected, kept = m.At(c.Expected)
+		conflict.Version, conflict.Revision = m.Version(), m.Revision()
+	})
+	if err != nil || !kept {
+		return conflict, err
+	}
+	patch := fleet.Diff(expected, c.Document)
+	c.Document, c.Patch = nil, &patch
+	return h.options.Store.Propose(ctx, c)
+}
+
 func (h *handler) document(w http.ResponseWriter, r *http.Request) {
 	var out Document
 	var found bool
