--- a/daemon/internal/ctl/config.go
+++ b/daemon/internal/ctl/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -22,6 +23,14 @@
 	wait      bool
 }
 
+// check refuses a resend that could differ from its first try.
+func (c *change) check() error {
+	if c.requestID != "" && c.expect == "" {
+		return errUsage.New("--request-id needs --expect, so that the resend equals the first try")
+	}
+	return nil
+}
+
 // changeFlags returns the flags of a command that fills c.
 func (a *app) changeFlags(name string, c *change) *ff.FlagSet {
 	flags := a.flagSet(name)
@@ -49,6 +58,53 @@
 	}
 }
 
+func (a *app) patchCommand() *ff.Command {
+	c := &change{}
+	flags := a.changeFlags("patch", c)
+	deleted := flags.StringSet('d', "delete", "section to delete, such as service.NAME; may be given several times")
+	return &ff.Command{
+		Name:      "patch",
+		Usage:     "fulmarctl patch [FLAGS] [FILE]",
+		ShortHelp: "add, replace or delete single sections",
+		LongHelp: "The file holds only what changes: whole services and exceptions, and single defaults.\n" +
+			"It conflicts only with changes of the same sections since the expected version.",
+		Flags: flags,
+		Exec: func(ctx context.Context, args []string) error {
+			return a.connected(len(args), func(ctx context.Context, client *admin.Client, _ []string) error {
+				return a.patch(ctx, client, c, args, *deleted)
+			})(ctx, args)
+		},
+	}
+}
+
+func (a *app) patch(ctx context.Context, client *admin.Client, c *change, files, deleted []string) error {
+	if len(files) > 1 || len(files)+len(deleted) == 0 {
+		return errUsage.New("one file, or --delete, is needed; see --help")
+	}
+	var name string
+	var data []byte
+	if len(files) == 1 {
+		var err error
+		name = files[0]
+		if data, err = os.ReadFile(name); err != nil {
+			return errRefused.New("%s", err)
+		}
+	}
+	if err := c.check(); err != nil {
+		return err
+	}
+	current, err := a.document(ctx, client, c.expect)
+	if err != nil {
+		return err
+	}
+	c.expect = strconv.FormatUint(current.Version, 10)
+	patch, err := fleetfile.ParsePatch(name, data, deleted, current.Document)
+	if err != nil {
+		return err
+	}
+	return a.run(ctx, client, c, fleet.Command{Kind: fleet.KindPatch, Patch: patch})
+}
+
 func (a *app) rollbackCommand() *ff.Command {
 	c := &change{}
 	flags := a.changeFlags("rollback", c)
@@ -70,8 +126,8 @@
 
 // run sends the command and prints its result.
 func (a *app) run(ctx context.Context, client *admin.Client, c *change, command fleet.Command) error {
-	if c.requestID != "" && c.expect == "" {
-		return errUsage.New("--request-id needs --expect, so that the resend equals the first try")
+	if err := c.check(); err != nil {
+		return err
 	}
 	if err := a.expect(ctx, client, c, &command); err != nil {
 		return err
--- a/daemon/internal/ctl/ctl.go
+++ b/daemon/internal/ctl/ctl.go
@@ -94,7 +94,7 @@
 		Flags: a.flags,
 		Subcommands: []*ff.Command{
 			a.checkCommand(),
-			a.applyCommand(), a.getCommand(), a.historyCommand(), a.diffCommand(), a.rollbackCommand(),
+			a.applyCommand(), a.patchCommand(), a.getCommand(), a.historyCommand(), a.diffCommand(), a.rollbackCommand(),
 			a.drainCommand(), a.statusCommand(), a.dumpCommand(), a.replicaCommand(),
 			a.keysCommand(),
 		},
--- a/daemon/internal/fleetfile/fleetfile.go
+++ b/daemon/internal/fleetfile/fleetfile.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,8 +27,51 @@
 
 // Parse reads and checks data. Findings name the file as name.
 func Parse(name string, data []byte) (*fleet.Document, error) {
+	p := newParser(name, data, fleet.DefaultSettings())
+	p.validate(p.document)
+	if err := p.found.Err(); err != nil {
+		return nil, err
+	}
+	return p.document, nil
+}
+
+// ParsePatch reads a file that holds only what is to be added or replaced in
+// current: whole services and exceptions, and single defaults. The sections in
+// deleted are removed. The outcome is checked as a whole.
+func ParsePatch(name string, data []byte, deleted []string, current *fleet.Document) (*fleet.Patch, error) {
+	p := newParser(name, data, current.Defaults)
+	patch := &fleet.Patch{PutServices: p.document.Services, PutExceptions: p.document.Exceptions}
+	if p.document.Defaults != current.Defaults {
+		patch.Defaults = &p.document.Defaults
+	}
+	for _, section := range deleted {
+		p.deleteSection(patch, section, current)
+	}
+	p.validate(patch.Apply(current))
+	if err := p.found.Err(); err != nil {
+		return nil, err
+	}
+	return patch, nil
+}
+
+// deleteSection adds the removal of a section of current to patch.
+func (p *parser) deleteSection(patch *fleet.Patch, section string, current *fleet.Document) {
+	service, isService := strings.CutPrefix(section, fleet.ServicePrefix)
+	exception, isException := strings.CutPrefix(section, fleet.ExceptionPrefix)
+	named := func(e fleet.Exception) bool { return e.Name == exception }
+	switch {
+	case isService && current.Service(service) != nil:
+		patch.DeleteServices = append(patch.DeleteServices, service)
+	case isException && slices.ContainsFunc(current.Exceptions, named):
+		patch.DeleteExceptions = append(patch.DeleteExceptions, exception)
+	default:
+		p.found.Add(finding.Finding{Section: section, Message: "there is no such section to delete"})
+	}
+}
+
+func newParser(name string, data []byte, defaults fleet.Settings) *parser {
 	p := &parser{
-		document: &fleet.Document{Defaults: fleet.DefaultSettings()},
+		document: &fleet.Document{Defaults: defaults},
 		unusable: make(map[place]bool),
 	}
 	p.file = inifile.Parse(name, data, &p.found)
@@ -35,11 +79,7 @@
 		p.section(&p.file.Sections[i])
 	}
 	p.document.Normalize()
-	p.validate()
-	if err := p.found.Err(); err != nil {
-		return nil, err
-	}
-	return p.document, nil
+	return p
 }
 
 type parser struct {
@@ -162,10 +202,10 @@
 	return value
 }
 
-// validate adds the problems of the document.
-func (p *parser) validate() {
+// validate adds the problems of the document that the file makes.
+func (p *parser) validate(document *fleet.Document) {
 	lines := p.lines()
-	for _, problem := range p.document.Validate() {
+	for _, problem := range document.Validate() {
 		if p.unusable[place{problem.Section, problem.Key}] {
 			continue
 		}
--- a/daemon/internal/fleetfile/fleetfile_test.go
+++ b/daemon/internal/fleetfile/fleetfile_test.go
@@ -109,6 +109,42 @@
 	is.Equal(strings.Join(got, "\n"), strings.Join(want, "\n"))
 }
 
+func TestPatch(t *testing.T) {
+	is := is.New(t)
+	current, err := Parse("fleet.ini", []byte(whole))
+	is.NoErr(err)
+	patch, err := ParsePatch("change.ini", []byte(`[defaults]
+queue_time = 1s
+[service.status]
+mode = stream
+addresses = 10.1.0.3:443
+[exception.desk]
+scope = service
+target = order-desk
+key = weight
+value = 50
+reason = half of its hosts are away
+`), []string{"exception.old-disk", "service.catalogue"}, current)
+	is.NoErr(err)
+	next := patch.Apply(current)
+	is.Equal(next.Defaults.Get("queue_time"), "1s")
+	is.Equal(next.Defaults.Get("deadline"), "4s") // as it was
+	is.Equal(len(next.Services), 2)
+	is.Equal(next.Exceptions[0].Name, "desk")
+
+	_, err = ParsePatch("change.ini", []byte("[service.status]\nmode = packet\naddresses = 10.1.0.2:443\n"),
+		[]string{"service.gone", "defaults"}, current)
+	var got []string
+	for _, f := range finding.Of(err) {
+		got = append(got, f.String())
+	}
+	is.Equal(got, []string{
+		"[defaults] there is no such section to delete",
+		"[service.gone] there is no such section to delete",
+		"change.ini:3: [service.status] addresses: duplicate address 10.1.0.2:443, also of [service.catalogue]",
+	})
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(whole))
 	f.Add([]byte("[service.a]\nmode=stream\naddresses=1.1.1.1:1\nclasses=a 0-0 1%,b 0-0 1%"))
