--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -36,6 +36,7 @@
 	bind    settings.Bind
 	control *control.Control
 	agents  int
+	via     netip.AddrPort // where control is reached, if not at its own address
 }
 
 // newEmptyFleet returns a fleet without processes.
@@ -72,6 +73,9 @@
 	if f.control != nil {
 		s.Join.Control = []netip.AddrPort{f.control.Addr()}
 	}
+	if f.via.IsValid() {
+		s.Join.Control = []netip.AddrPort{f.via}
+	}
 	return Options{Settings: &s, Identity: identity, Ring: f.set.Ring, Spray: 2, Now: time.Now, Log: zap.NewNop()}
 }
 
