--- a/core/fleet/document.go
+++ b/core/fleet/document.go
@@ -160,7 +160,7 @@
 // by the exceptions that have not expired, the narrower scope last.
 func (d *Document) Effective(target Target, now time.Time) Settings {
 	settings := d.Defaults
-	for _, scope := range []Scope{ScopeZone, ScopeService, ScopeBackendServer} {
+	for _, scope := range anyScope {
 		for i := range d.Exceptions {
 			e := &d.Exceptions[i]
 			if e.Scope == scope && target.name(scope) == e.Target && !e.Expired(now) {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -123,9 +123,11 @@
 	for _, tt := range tests {
 		is := is.New(t)
 		is.Equal(d.Effective(tt.target, tt.at).Weight, tt.weight)
+		is.Equal(NewResolver(d, tt.at).Effective(tt.target), d.Effective(tt.target, tt.at))
 	}
 	is := is.New(t)
 	is.Equal(len(d.Expired(start)), 0)
+	is.Equal(NewResolver(d, start.Add(time.Hour)).Expired(), 1)
 	is.Equal(d.Expired(start.Add(time.Hour))[0].Name, "a-zone")
 }
 
@@ -383,3 +385,29 @@
 		}
 	}
 }
+
+// BenchmarkEffective asks for the settings of every service of the fleet of two
+// years from now, with the most exceptions that a document may hold.
+func BenchmarkEffective(b *testing.B) {
+	d := wide(19_000)
+	for i := range maxExceptions {
+		d.Exceptions = append(d.Exceptions, Exception{
+			Name: fmt.Sprint(i), Scope: ScopeService, Target: d.Services[19*i].Name, Key: "weight", Value: "50",
+		})
+	}
+	b.Run("resolver", func(b *testing.B) {
+		for b.Loop() {
+			r := NewResolver(d, start)
+			for i := range d.Services {
+				r.Effective(Target{Service: d.Services[i].Name})
+			}
+		}
+	})
+	b.Run("document", func(b *testing.B) {
+		for b.Loop() {
+			for i := range d.Services {
+				d.Effective(Target{Service: d.Services[i].Name}, start)
+			}
+		}
+	})
+}
--- a/core/fleet/settings.go
+++ b/core/fleet/settings.go
@@ -79,6 +79,7 @@
 }
 
 var (
+	// anyScope is in the order in which exceptions are applied.
 	anyScope     = []Scope{ScopeZone, ScopeService, ScopeBackendServer}
 	serviceScope = []Scope{ScopeZone, ScopeService}
 )
