Merge sorted lists when a patch is applied

Names of a patch were looked up in a map for each of the document's items, the outcome was sorted anew, and every service's ID was searched for. All lists are sorted, so each is walked once.

--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -173,18 +173,21 @@
 
 // assignIDs gives services that exist their ID and new ones the next ID. It
 // writes only what differs, since next shares unchanged items with documents
-// that readers hold.
+// that readers hold. Both lists are sorted by name.
 func (m *Machine) assignIDs(next *Document) {
+	old := m.document.Services
 	for i := range next.Services {
 		s := &next.Services[i]
-		if old := m.document.Service(s.Name); old != nil {
-			if s.ID != old.ID {
-				s.ID = old.ID
-			}
-			continue
+		for len(old) > 0 && old[0].Name < s.Name {
+			old = old[1:]
+		}
+		switch {
+		case len(old) == 0 || old[0].Name != s.Name:
+			s.ID = m.nextID
+			m.nextID++
+		case s.ID != old[0].ID:
+			s.ID = old[0].ID
 		}
-		s.ID = m.nextID
-		m.nextID++
 	}
 }
 
--- a/core/fleet/patch.go
+++ b/core/fleet/patch.go
@@ -39,7 +39,7 @@
 }
 
 // Apply returns the document that the patch makes of d, which stays unchanged
-// and shares what the patch does not touch.
+// and shares what the patch does not touch. Both are normalized.
 // Deleting what does not exist is no error.
 func (p *Patch) Apply(d *Document) *Document {
 	next := &Document{Defaults: d.Defaults}
@@ -133,25 +133,27 @@
 }
 
 // patchItems returns a copy of items without the deleted ones and with the put
-// ones in place of those of the same name.
+// ones in place of those of the same name. All but deleted are sorted by name.
 func patchItems[T any](items, put []T, deleted []string, name func(*T) string) []T {
 	if len(put) == 0 && len(deleted) == 0 {
 		return items
 	}
-	replaced := make(map[string]bool, len(put)+len(deleted))
-	for _, n := range deleted {
-		replaced[n] = true
-	}
-	for i := range put {
-		replaced[name(&put[i])] = true
-	}
+	deleted = slices.Sorted(slices.Values(deleted))
 	next := make([]T, 0, len(items)+len(put))
 	for i := range items {
-		if !replaced[name(&items[i])] {
+		n := name(&items[i])
+		for len(put) > 0 && name(&put[0]) < n {
+			next = append(next, put[0])
+			put = put[1:]
+		}
+		for len(deleted) > 0 && deleted[0] < n {
+			deleted = deleted[1:]
+		}
+		replaced := len(put) > 0 && name(&put[0]) == n
+		removed := len(deleted) > 0 && deleted[0] == n
+		if !replaced && !removed {
 			next = append(next, items[i])
 		}
 	}
-	next = append(next, put...)
-	slices.SortStableFunc(next, func(a, b T) int { return cmp.Compare(name(&a), name(&b)) })
-	return nonEmpty(next)
+	return nonEmpty(append(next, put...))
 }
