--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -123,9 +123,11 @@
 	for _, tt := range tests {
 		is := is.New(t)
 		is.Equal(d.Effective(tt.target, tt.at).Weight, tt.weight)
+		is.Equal(NewResolver(d, tt.at).Effective(tt.target), d.Effective(tt.target, tt.at))
 	}
 	is := is.New(t)
 	is.Equal(len(d.Expired(start)), 0)
+	is.Equal(NewResolver(d, start.Add(time.Hour)).Expired(), 1)
 	is.Equal(d.Expired(start.Add(time.Hour))[0].Name, "a-zone")
 }
 
@@ -165,6 +167,9 @@
 	rollback := func(id string, expected, to uint64) Command {
 		return Command{Kind: KindRollback, RequestID: id, Expected: expected, Version: to}
 	}
+	whole := func(id string, expected uint64) Command {
+		return Command{Kind: KindApply, RequestID: id, Expected: expected, Patch: &Patch{DeleteServices: []string{"one"}}}
+	}
 	drain := Command{Kind: KindDrain, BackendServer: "one-1"}
 	type step struct {
 		command Command
@@ -185,6 +190,7 @@
 		{"patches of two services", []step{{put("a", 0, service("one", 1)), Accepted, 1}, {put("b", 0, service("two", 2)), Accepted, 2}}},
 		{"patches of one service", []step{{put("a", 0, service("one", 1)), Accepted, 1}, {put("b", 0, service("one", 2)), Conflict, 1}, {put("c", 1, service("one", 2)), Accepted, 2}}},
 		{"patches that take one address", []step{{put("a", 0, service("one", 1)), Accepted, 1}, {put("b", 0, service("two", 1)), Invalid, 1}}},
+		{"whole document as a patch", []step{{apply("a", 0, one), Accepted, 1}, {whole("b", 1), Accepted, 2}, {whole("c", 1), Conflict, 2}, {whole("b", 1), Accepted, 2}}},
 		{"patch from the future", []step{{put("a", 5, service("one", 1)), Conflict, 0}}},
 		{"rollback is a new version", []step{{apply("a", 0, one), Accepted, 1}, {apply("b", 1, two), Accepted, 2}, {rollback("c", 2, 1), Accepted, 3}, {rollback("d", 2, 1), Conflict, 3}, {rollback("e", 3, 9), NotFound, 3}}},
 		{"drain leaves the version", []step{{apply("a", 0, one), Accepted, 1}, {drain, Accepted, 1}, {drain, Accepted, 1}, {apply("b", 1, two), Accepted, 2}}},
@@ -379,3 +385,29 @@
 		}
 	}
 }
+
+// BenchmarkEffective asks for the settings of every service of the fleet of two
+// years from now, with the most exceptions that a document may hold.
+func BenchmarkEffective(b *testing.B) {
+	d := wide(19_000)
+	for i := range maxExceptions {
+		d.Exceptions = append(d.Exceptions, Exception{
+			Name: fmt.Sprint(i), Scope: ScopeService, Target: d.Services[19*i].Name, Key: "weight", Value: "50",
+		})
+	}
+	b.Run("resolver", func(b *testing.B) {
+		for b.Loop() {
+			r := NewResolver(d, start)
+			for i := range d.Services {
+				r.Effective(Target{Service: d.Services[i].Name})
+			}
+		}
+	})
+	b.Run("document", func(b *testing.B) {
+		for b.Loop() {
+			for i := range d.Services {
+				d.Effective(Target{Service: d.Services[i].Name}, start)
+			}
+		}
+	})
+}
