--- a/daemon/internal/subscribe/publisher.go
+++ b/daemon/internal/subscribe/publisher.go
@@ -27,6 +27,8 @@
 const (
 	// batchWindow is how long changes are gathered before they are sent.
 	batchWindow = 100 * time.Millisecond
+	// maxSubscribers bounds the daemons of one process; others are sent away.
+	maxSubscribers = 8192
 	// queueLength bounds the messages that wait for one subscriber. Those
 	// beyond it are dropped and sent again later.
 	queueLength = 64
@@ -55,8 +57,9 @@
 // NewPublisher returns a Publisher without items.
 func NewPublisher(o PublisherOptions) (*Publisher, error) {
 	root, err := spread.NewRoot(o.Epoch, spread.NewStore(spread.StoreOptions{}), spread.SourceOptions{
-		BatchWindow: batchWindow,
-		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		BatchWindow:    batchWindow,
+		MaxSubscribers: maxSubscribers,
+		Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	if err != nil {
 		return nil, err
