--- a/daemon/tools/capacity/fleet.go
+++ b/daemon/tools/capacity/fleet.go
@@ -46,6 +46,7 @@
 	rackHosts       = 40.0  // hosts lost with one rack or switch
 	probesPerSecond = 0.5   // spread.SinkOptions.ProbeEvery is 2 s
 	renewsPerSecond = 1.0   // announcements of one agent
+	vmCores         = 16.0  // of a control VM, assumed
 	linkBytes       = 125e6 // bytes per second of a 1 Gb/s link of a control VM
 	leaseSeconds    = 3.0   // until a silent host's lease has ended
 	maxLagSeconds   = 10.0  // spread.SinkOptions.SilentAfter
--- a/daemon/tools/capacity/measure.go
+++ b/daemon/tools/capacity/measure.go
@@ -25,6 +25,7 @@
 		{[]string{"idle_bytes", "idle_cpu"}, measureIdle},
 		{[]string{"wire_bytes", "wire_cpu"}, measureWire},
 		{[]string{"renew_bytes", "renew_cpu"}, measureRenewals},
+		{[]string{"lease_heap", "lease_ns"}, measureLeases},
 		{[]string{"conn_heap"}, measureConnections},
 		{[]string{"flow_bytes", "deliver_ns"}, measureFlows},
 		{[]string{"pointer_bytes"}, measurePointers},
--- a/daemon/tools/capacity/measure_control.go
+++ b/daemon/tools/capacity/measure_control.go
@@ -9,7 +9,9 @@
 
 	"fulmarmount.org/core/admission"
 	"fulmarmount.org/core/flow"
+	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/quorum"
+	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/disk"
 	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/packet"
@@ -100,6 +102,51 @@
 	return []Series{bytes, ns}
 }
 
+// measureLeases holds the leases of a fleet in one registry and renews them.
+func measureLeases() []Series {
+	heap := Series{ID: "lease_heap", Title: "Leases and views of a fleet in one registry", X: "hosts", Y: "bytes"}
+	ns := Series{ID: "lease_ns", Title: "Renewal of one lease", X: "hosts", Y: "ns"}
+	for _, hosts := range fleetHosts {
+		var r *lease.Registry
+		heap.Points = append(heap.Points, Point{float64(hosts), heapOf(func() any {
+			r = registryOf(hosts)
+			return r
+		})})
+		members := make([]view.Announcement, hosts)
+		for i := range members {
+			members[i] = announcement(i)
+		}
+		ns.Points = append(ns.Points, Point{float64(hosts), nsPerOp(func(i int) {
+			a := members[i%hosts]
+			renewals++
+			a.Sequence = renewals
+			must(r.Announce(time.Second, view.ServiceID(i%hosts/hostsPerService+1), a))
+		})})
+	}
+	return []Series{heap, ns}
+}
+
+// renewals numbers the announcements of all measurements.
+var renewals uint64 = 1
+
+func registryOf(hosts int) *lease.Registry {
+	r := lease.NewRegistry(lease.Options{})
+	r.Lead(0, 1, nil)
+	for i := range hosts {
+		must(r.Announce(0, view.ServiceID(i/hostsPerService+1), announcement(i)))
+	}
+	r.Tick(time.Minute)
+	return r
+}
+
+func announcement(host int) view.Announcement {
+	m := serviceView(host/hostsPerService, hostsPerService, view.Version{}).Members[host%hostsPerService]
+	return view.Announcement{
+		Service: serviceName(host / hostsPerService), ID: m.ID, Zone: m.Zone, Incarnation: m.Incarnation,
+		Packets: m.Packets, Requests: m.Requests, Slots: m.Slots, Healthy: true, Sequence: 1, TTL: 3 * time.Second,
+	}
+}
+
 // measureSync times a save with a real sync in the system's temporary folder.
 func measureSync() []Series {
 	s := Series{ID: "sync_us", Title: "Save of one batch of commits of 512 bytes, synced", X: "commits in the batch", Y: "µs"}
--- a/daemon/tools/capacity/model.go
+++ b/daemon/tools/capacity/model.go
@@ -116,7 +116,8 @@
 func (c costs) relay() []Row {
 	f := c.fleet
 	connections := f.balancersPerRelay() + f.agentsPerRelay()
-	live := c.Get("relay_heap").At(f.Hosts) + connections*c.connection()
+	leases := c.Get("lease_heap").At(f.agentsPerRelay())
+	live := c.Get("relay_heap").At(f.Hosts) + connections*c.connection() + leases
 	rate := f.changesPerSecond()
 	out := connections*c.idleBytes() + f.balancersPerRelay()*rate*c.changeBytes() + f.agentsPerRelay()*renewsPerSecond*c.renewBytes()
 	renewals := f.agentsPerRelay() * renewsPerSecond * c.renewCPU()
@@ -125,10 +126,12 @@
 		{"daemons served", grouped(connections), "310 balancers and 3,333 agents at each of 42 relays", 0, 0, "`spread.RelayOrder` spreads them, `MaxSubscribers` bounds them", ""},
 		{"items held, with bodies", siBytes(c.Get("relay_heap").At(f.Hosts)), "`relay_heap` at 140,000 hosts", 0, 0, "`spread.Store`", ""},
 		{"connections", siBytes(connections * c.connection()), "`conn_heap`", 0, 0, "one QUIC connection per daemon", ""},
+		{"leases", siBytes(leases), "`lease_heap` at 3,333 hosts", 0, 0, "`lease.Registry`", ""},
 		{"memory, with garbage", siBytes(live * gcFactor), "sum × 2", 0, 0, "a VM set aside", ""},
 		{"messages per second", grouped(connections*2*probesPerSecond + f.agentsPerRelay()*2*renewsPerSecond + f.balancersPerRelay()*2*rate), "probes, renewals and changes with their answers", 0, 0, "renewals end here; only changes travel on", ""},
 		{"bytes per second, both directions", siBytes(out), "the daemons' own, summed", out, linkBytes, "1 Gb/s link", ""},
 		{"cores for renewals", digits(renewals), "`renew_cpu`", 0, 0, "one message per agent and second", ""},
+		{"agents that one core renews", grouped(1 / c.renewCPU()), "one over `renew_cpu`; the lease itself is " + seconds(c.Get("lease_ns").At(f.Hosts)*1e-9) + " of it (`lease_ns`)", 0, 0, "the rest is QUIC's", ""},
 		{"cores for subscriptions", digits(subscriptions), "`idle_cpu` + changes × `wire_cpu`", 0, 0, "one encoding per subscriber", ""},
 	}
 }
@@ -150,6 +153,7 @@
 		{"bytes to relays and replicas per second", siBytes(subscribers * rate * c.changeBytes()), "46 subscribers × changes × `wire_bytes`", 0, 0, "relays carry the daemons", ""},
 		{"processor time of the leader", percent(cpu), "`commit_ns` + 46 × changes × `wire_cpu`", 0, 0, "a VM set aside", ""},
 		{"items held, with bodies", siBytes(c.Get("relay_heap").At(f.Hosts)), "`relay_heap`", 0, 0, "`spread.Store`", ""},
+		{"cores for renewals, as the leader takes them all today", digits(f.Hosts * renewsPerSecond * c.renewCPU()), "140,000 a second × `renew_cpu`", f.Hosts * renewsPerSecond * c.renewCPU(), vmCores, "`lease.Registry` at the leader", "leases at the relays, which pass on only what changes: 3,333 agents each, see the relay"},
 	}
 }
 
