End flows by the fleet's limits

idle_timeout and drain_limit could be set and did nothing. Agents now take them from their service: the shorter idle timeout holds, and a drain that has lasted for its limit ends the flows that are left. The default idle timeout of the fleet is 24 h, so that it shortens no agent's own one unasked. Settings that daemons learn for a whole service no longer take exceptions for a zone or a backend server, which would have had no effect.

--- a/core/fleet/settings.go
+++ b/core/fleet/settings.go
@@ -46,7 +46,7 @@
 	return Settings{
 		Deadline:    10 * time.Second,
 		QueueTime:   500 * time.Millisecond,
-		IdleTimeout: 5 * time.Minute,
+		IdleTimeout: 24 * time.Hour,
 		Warming:     20 * time.Second,
 		DrainLimit:  24 * time.Hour,
 		Lease:       3 * time.Second,
@@ -81,7 +81,7 @@
 var (
 	// anyScope is in the order in which exceptions are applied.
 	anyScope     = []Scope{ScopeZone, ScopeService, ScopeBackendServer}
-	serviceScope = []Scope{ScopeZone, ScopeService}
+	serviceScope = []Scope{ScopeService}
 )
 
 const day = 24 * time.Hour
@@ -96,7 +96,7 @@
 		duration: func(s *Settings) *time.Duration { return &s.QueueTime },
 	},
 	{
-		key: "idle_timeout", low: int64(time.Second), high: int64(7 * day), scopes: anyScope,
+		key: "idle_timeout", low: int64(time.Second), high: int64(7 * day), scopes: serviceScope,
 		duration: func(s *Settings) *time.Duration { return &s.IdleTimeout },
 	},
 	{
@@ -104,7 +104,7 @@
 		duration: func(s *Settings) *time.Duration { return &s.Warming },
 	},
 	{
-		key: "drain_limit", low: int64(time.Second), high: int64(30 * day), scopes: anyScope,
+		key: "drain_limit", low: int64(time.Second), high: int64(30 * day), scopes: serviceScope,
 		duration: func(s *Settings) *time.Duration { return &s.DrainLimit },
 	},
 	{
--- a/daemon/internal/role/agent/agent.go
+++ b/daemon/internal/role/agent/agent.go
@@ -66,6 +66,7 @@
 	options   Options
 	flows     flows
 	owner     owner
+	limits    limits
 	paths     *flow.ReturnPaths
 	stats     Stats
 	service   atomic.Uint32
@@ -92,6 +93,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		options:   o,
+		limits:    limits{idle: o.IdleTimeout},
 		paths:     flow.NewReturnPaths(),
 		sealer:    packet.NewSealer(o.Keys, o.Session),
 		opener:    packet.NewOpener(o.Keys, o.Now),
@@ -167,11 +169,19 @@
 	return err
 }
 
+// noteState reads the backend server's own state from its service's view.
+func (a *Agent) noteState(v *view.View) {
+	if i := v.Find(a.options.ID); i >= 0 {
+		a.limits.setState(v.Members[i].State, a.options.Now())
+	}
+}
+
 // adopt puts the agent's own service and its view in force.
 func (a *Agent) adopt(u proto.Update) {
 	for _, s := range u.Services {
 		if s.Name == a.options.Service {
 			a.service.Store(uint32(s.ID))
+			a.limits.setService(s.Settings, a.options.IdleTimeout)
 			a.owner.setService(s.ID, s.Addresses)
 		}
 	}
@@ -180,6 +190,7 @@
 	}
 	for _, v := range u.Views {
 		if a.owner.setView(v) {
+			a.noteState(v)
 			a.options.Log.Info("Adopted a view.", zap.Stringer("version", v.Version), zap.Int("members", len(v.Members)))
 		}
 	}
--- a/daemon/internal/role/agent/packets.go
+++ b/daemon/internal/role/agent/packets.go
@@ -160,7 +160,7 @@
 	a.stats.Replied.Add(1)
 }
 
-// sweep ends idle flows until ctx ends.
+// sweep ends idle flows, and those that a drain left too long, until ctx ends.
 func (a *Agent) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -170,7 +170,7 @@
 			return
 		case <-ticker.C:
 			now := a.options.Now()
-			a.flows.expire(now.Add(-a.options.IdleTimeout), a.owner.flows.End)
+			a.flows.expire(a.limits.expired(now), a.owner.flows.End)
 			a.paths.Expire(now)
 		}
 	}
