--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -49,12 +49,6 @@
 // Drains returns the drains, sorted by backend server. Treat them as read-only.
 func (m *Machine) Drains() []Drain { return m.drains }
 
-// Draining reports whether the backend server is to be drained.
-func (m *Machine) Draining(backendServer string) bool {
-	_, ok := m.findDrain(backendServer)
-	return ok
-}
-
 // History returns the entries of the versions that can be returned to, the
 // oldest first. Treat their content as read-only.
 func (m *Machine) History() []Entry { return slices.Clone(m.history.entries) }
--- a/daemon/internal/inifile/reader.go
+++ b/daemon/internal/inifile/reader.go
@@ -84,12 +84,6 @@
 	return value
 }
 
-// Bool returns true for "yes" and false for "no", or def.
-func (r *Reader) Bool(key string, def bool) bool {
-	names := map[bool]string{true: "yes", false: "no"}
-	return r.Enum(key, names[def], "yes", "no") == "yes"
-}
-
 // Int returns a whole number from low to high, or def.
 func (r *Reader) Int(key string, def, low, high int) int {
 	text := r.String(key, "")
