Allow 24 relays of a packet, and renew leases at a third of what control says

With a bound of 16 a new flow could lose its first packet where a view change follows five others within 30 s: each earlier home costs two relays. Agents announced every second whatever lease control had in force; they now follow it.

--- a/core/flow/agent.go
+++ b/core/flow/agent.go
@@ -42,7 +42,7 @@
 	setDefault(&o.HistoryWindow, 30*time.Second)
 	setDefault(&o.SilentAfter, time.Second)
 	setDefault(&o.SilentAsks, 4)
-	setDefault(&o.MaxHops, 16)
+	setDefault(&o.MaxHops, 24)
 }
 
 func setDefault[T comparable](v *T, d T) {
--- a/daemon/internal/role/agent/announce.go
+++ b/daemon/internal/role/agent/announce.go
@@ -16,9 +16,12 @@
 )
 
 const (
-	// renewInterval is the time between announcements: a third of the lease,
-	// so that two may be lost.
+	// renewInterval is the time between announcements until control has told
+	// the lease.
 	renewInterval = 1 * time.Second
+	// renewals is the number of announcements in one lease, so that two may be
+	// lost.
+	renewals = 3
 	// answerLimit bounds the wait for the answer to an announcement. A fresh
 	// connection tried after it still renews the lease in time.
 	answerLimit = 1 * time.Second
@@ -75,12 +78,20 @@
 		if !reply.Accepted {
 			a.options.Log.Warn("Control refused the announcement.", zap.String("reason", reply.Reason))
 		}
-		if !subscribe.Sleep(ctx, subscribe.Jitter(renewInterval)) {
+		if !subscribe.Sleep(ctx, subscribe.Jitter(interval(reply.Lease))) {
 			return nil
 		}
 	}
 }
 
+// interval returns the time between the announcements of a lease.
+func interval(lease time.Duration) time.Duration {
+	if lease <= 0 {
+		return renewInterval
+	}
+	return lease / renewals
+}
+
 func (a *Agent) announcement(sequence uint64) view.Announcement {
 	var holds view.Version
 	if v := a.owner.flows.View(); v != nil && a.service.Load() != 0 {
