--- a/core/flow/stats.go
+++ b/core/flow/stats.go
@@ -22,6 +22,17 @@
 // Refusals counts dropped packets by reason.
 type Refusals [reasons]uint64
 
+// ByName returns the counts that are not 0, by the reason's name.
+func (r Refusals) ByName() map[string]uint64 {
+	out := make(map[string]uint64)
+	for reason, n := range r {
+		if n > 0 {
+			out[Reason(reason).String()] = n
+		}
+	}
+	return out
+}
+
 // Stats are an agent's counts since its start.
 type Stats struct {
 	Delivered uint64 // packets handed to the backend server
@@ -31,7 +42,7 @@
 	Denied    uint64 // packets sent to a home as not owned here
 	Diverted  uint64 // flows placed on another agent for balance
 	Contested uint64 // pointers received for flows that are owned here
-	Refused   Refusals
+	Refused   Refusals `json:"-"`
 }
 
 // Stats returns the counts.
--- a/daemon/internal/role/agent/dump.go
+++ b/daemon/internal/role/agent/dump.go
@@ -28,10 +28,12 @@
 	// Unacknowledged is the number of pointers to flows owned here whose
 	// receipt is not known yet.
 	Unacknowledged int `json:"unacknowledged_pointers"`
-	// Decisions count what the flow table decided, Pushes what was pushed.
-	Decisions flow.Stats    `json:"decisions"`
-	Pushes    locator.Stats `json:"pushes"`
-	Counters  Counters      `json:"counters"`
+	// Decisions count what the flow table decided, Dropped the packets it
+	// refused by reason, Pushes what was pushed.
+	Decisions flow.Stats        `json:"decisions"`
+	Dropped   map[string]uint64 `json:"dropped"`
+	Pushes    locator.Stats     `json:"pushes"`
+	Counters  Counters          `json:"counters"`
 }
 
 // Holding is the number of flows of one owner.
@@ -73,6 +75,7 @@
 		Holdings:       a.owner.holdings(a.options.ID),
 		Unacknowledged: a.owner.pusher.Unacknowledged(),
 		Decisions:      a.owner.flows.Stats(),
+		Dropped:        a.owner.flows.Stats().Refused.ByName(),
 		Pushes:         a.owner.pusher.Stats(),
 	}
 	if v := a.owner.flows.View(); v != nil {
--- a/daemon/internal/role/balancer/dump.go
+++ b/daemon/internal/role/balancer/dump.go
@@ -11,7 +11,10 @@
 	Envelopes netip.AddrPort   `json:"envelopes"`
 	Listeners []netip.AddrPort `json:"listeners"`
 	Views     []*view.View     `json:"views"`
-	Counters  Counters         `json:"counters"`
+	// Dropped are the datagrams not placed, by reason.
+	Dropped map[string]uint64 `json:"dropped"`
+
+	Counters Counters `json:"counters"`
 }
 
 // Counters are the values of Stats at one time.
@@ -26,7 +29,7 @@
 
 // Dump returns the balancer's state.
 func (b *Balancer) Dump() any {
-	d := Dump{Envelopes: b.envelopes.Addr(), Counters: b.stats.counters()}
+	d := Dump{Envelopes: b.envelopes.Addr(), Counters: b.stats.counters(), Dropped: b.forwarder.Drops().ByName()}
 	b.mu.Lock()
 	for key := range b.listeners {
 		d.Listeners = append(d.Listeners, key.addr)
