Restart a balancer process without losing a datagram

Cause: handover was reached by tests alone, not by an operator. Change: [process] handover names the socket on which a process and its successor meet. The successor takes over before it starts its roles; the predecessor releases its admin socket, finishes its connections and ends. Only processes whose one role is balancer may hand over: an agent's promises about flows are not passed on, and a replica's disk has one owner.

--- a/daemon/internal/e2e/e2e_test.go
+++ b/daemon/internal/e2e/e2e_test.go
@@ -122,3 +122,40 @@
 	exchange(t, all, 4)
 	checkUnbroken(t, all)
 }
+
+func TestBalancerRestartLosesNoDatagram(t *testing.T) {
+	const restarts, waiting = 3, 8
+	is := is.New(t)
+	f := newFleet(t)
+	control := f.startControl()
+	addr := serviceAddr(3)
+	f.apply(fmt.Sprintf("[defaults]\nwarming = 1s\nidle_timeout = 1h\n\n"+
+		"[service.telemetry]\nmode = packet\naddresses = %v\n", addr))
+	f.startEchoes("telemetry", 3)
+	b := f.startBalancer()
+	f.settled(4, 3)
+	all := f.sessions(addr, 8)
+	exchange(t, all, 2)
+
+	// Without control the successors have only what they take over.
+	control.kill()
+	for range restarts {
+		for _, s := range all {
+			for range waiting {
+				_, err := s.Send()
+				is.NoErr(err)
+			}
+		}
+		b = b.succeed()
+		for _, s := range all {
+			for range waiting {
+				is.NoErr(s.Receive(t.Context()))
+			}
+		}
+		exchange(t, all, 2)
+		checkUnbroken(t, all)
+	}
+	for _, s := range all {
+		is.True(s.Report().Whole())
+	}
+}
--- a/daemon/internal/e2e/fleet_test.go
+++ b/daemon/internal/e2e/fleet_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -113,9 +114,13 @@
 	for _, r := range roles {
 		text = append(text, string(r))
 	}
-	ini := fmt.Sprintf("[process]\nname = %[1]s\nzone = zone-a\nroles = %[2]s\nstop_timeout = 5s\ndata_dir = data/%[1]s\n\n"+
+	handover := ""
+	if slices.Equal(roles, []keys.Role{keys.Balancer}) {
+		handover = fmt.Sprintf("handover = %s.handover\n", name)
+	}
+	ini := fmt.Sprintf("[process]\nname = %[1]s\nzone = zone-a\nroles = %[2]s\nstop_timeout = 5s\ndata_dir = data/%[1]s\n%[4]s\n"+
 		"[tls]\nca = keys/ca.pem\ncert = keys/%[1]s.pem\nkey = keys/%[1]s.key\npacket_keys = keys/packets.json\n\n"+
-		"[admin]\nsocket = %[1]s.sock\n\n%[3]s", name, strings.Join(text, ", "), sections)
+		"[admin]\nsocket = %[1]s.sock\n\n%[3]s", name, strings.Join(text, ", "), sections, handover)
 	p := &process{t: f.t, name: name, file: filepath.Join(f.folder, name+".ini"), bin: f.bin, log: &bytes.Buffer{}}
 	if err := os.WriteFile(p.file, []byte(ini), 0o600); err != nil {
 		f.t.Fatal(err)
@@ -148,6 +153,18 @@
 	_ = p.cmd.Wait()
 }
 
+// succeed starts a process with the settings of p, which is to end by itself.
+func (p *process) succeed() *process {
+	p.t.Helper()
+	next := &process{t: p.t, name: p.name, file: p.file, bin: p.bin, log: &bytes.Buffer{}}
+	next.run()
+	p.t.Cleanup(next.kill)
+	if err := p.cmd.Wait(); err != nil {
+		p.t.Fatalf("%s did not end well: %v\n%s\nsuccessor:\n%s", p.name, err, p.log, next.log)
+	}
+	return next
+}
+
 func (f *fleet) startControl() *process {
 	p := f.start("control", []keys.Role{keys.Control},
 		fmt.Sprintf("[control]\nlisten = %v\ncluster = test\n", f.control))
--- a/daemon/internal/node/node.go
+++ b/daemon/internal/node/node.go
@@ -69,24 +69,24 @@
 }
 
 // New returns the process, not yet started.
-func New(o Options, d *Dumper) *fx.App {
+func New(o Options, d *Dumper, s *Succession) *fx.App {
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger {
 			return &fxevent.ZapLogger{Logger: o.Log.Named("fx").WithOptions(zap.IncreaseLevel(zap.WarnLevel))}
 		}),
 		fx.StopTimeout(o.Settings.StopTimeout),
-		fx.Supply(o, d),
+		fx.Supply(o, d, s),
 		fx.Invoke(registerRoles),
 	)
 }
 
 // registerRoles starts the roles in an order in which each finds what it
 // connects to, and stops them in the opposite one.
-func registerRoles(lc fx.Lifecycle, o Options, d *Dumper) {
+func registerRoles(lc fx.Lifecycle, o Options, d *Dumper, s *Succession) {
 	var spread admin.Spread
 	if o.Settings.Has(settings.RoleControl) {
 		o.Store = newStore()
-		register(lc, d, settings.RoleControl, func() (role, error) {
+		register(lc, d, s, settings.RoleControl, func() (role, error) {
 			c, err := startControl(o)
 			if err == nil {
 				spread = c.(admin.Spread)
@@ -96,13 +96,14 @@
 	}
 	if o.Settings.Has(settings.RoleAgent) {
 		for _, a := range o.Settings.Agents {
-			register(lc, d, settings.RoleAgent, func() (role, error) { return startAgent(o, a) })
+			register(lc, d, s, settings.RoleAgent, func() (role, error) { return startAgent(o, a) })
 		}
 	}
 	if o.Settings.Has(settings.RoleBalancer) {
-		register(lc, d, settings.RoleBalancer, func() (role, error) { return startBalancer(o) })
+		register(lc, d, s, settings.RoleBalancer, func() (role, error) { return startBalancer(o) })
 	}
-	registerAdmin(lc, o, d, &spread)
+	registerAdmin(lc, o, d, s, &spread)
+	registerHandover(lc, o, s)
 }
 
 // role is a running role.
@@ -112,13 +113,14 @@
 	Stop(ctx context.Context) error
 }
 
-func register(lc fx.Lifecycle, d *Dumper, name settings.Role, start func() (role, error)) {
+func register(lc fx.Lifecycle, d *Dumper, s *Succession, name settings.Role, start func() (role, error)) {
 	var running role
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) (err error) {
 			running, err = start()
 			if err == nil {
 				d.add(string(name), running)
+				s.add(running)
 			}
 			return err
 		},
--- a/daemon/internal/node/operators.go
+++ b/daemon/internal/node/operators.go
@@ -40,7 +40,7 @@
 
 // registerAdmin serves operators where the settings ask for it. The ports are
 // read once every role has started.
-func registerAdmin(lc fx.Lifecycle, o Options, d *Dumper, spread *admin.Spread) {
+func registerAdmin(lc fx.Lifecycle, o Options, d *Dumper, s *Succession, spread *admin.Spread) {
 	if o.Settings.Admin.Socket == "" && !o.Settings.Admin.Remote.IsValid() {
 		return
 	}
@@ -48,6 +48,10 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) (err error) {
 			server, err = admin.Start(adminOptions(o, d, *spread))
+			if err == nil {
+				// A successor opens the same socket.
+				s.onLeave(func() { _ = server.Stop(context.Background()) })
+			}
 			return err
 		},
 		OnStop: func(ctx context.Context) error { return server.Stop(ctx) },
--- a/daemon/internal/node/operators_test.go
+++ b/daemon/internal/node/operators_test.go
@@ -29,7 +29,7 @@
 		Control:     settings.Control{Listen: netip.MustParseAddrPort("127.0.0.1:0")},
 	})
 	d := NewDumper(o)
-	app := New(o, d)
+	app := New(o, d, NewSuccession())
 	if err := app.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/daemon/internal/node/succession.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"go.uber.org/fx"
+
+	"fulmarmount.org/daemon/internal/handover"
+)
+
+// Succession hands the process's roles over to a successor on the same VM. It
+// implements handover.Predecessor for all of them together.
+type Succession struct {
+	mu    sync.Mutex
+	roles []handover.Predecessor
+	// release gives up what only one process can hold.
+	release []func()
+	paused  int // the first of roles that are paused
+	left    chan struct{}
+}
+
+// NewSuccession returns a Succession without roles.
+func NewSuccession() *Succession { return &Succession{left: make(chan struct{})} }
+
+// Left is closed once a successor has taken over.
+func (s *Succession) Left() <-chan struct{} { return s.left }
+
+// add makes a running role part of a later handover, if it can be.
+func (s *Succession) add(r role) {
+	if p, ok := r.(handover.Predecessor); ok {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.roles = append(s.roles, p)
+	}
+}
+
+// onLeave adds a function that Leave calls first.
+func (s *Succession) onLeave(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.release = append(s.release, f)
+}
+
+// Pause implements handover.Predecessor.
+func (s *Succession) Pause() (handover.Bundle, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all handover.Bundle
+	for s.paused = 0; s.paused < len(s.roles); s.paused++ {
+		bundle, err := s.roles[s.paused].Pause()
+		if err != nil {
+			// The role that failed may have paused in part.
+			s.paused++
+			return nil, err
+		}
+		all = append(all, bundle...)
+	}
+	return all, nil
+}
+
+// Resume implements handover.Predecessor.
+func (s *Succession) Resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.roles[:s.paused] {
+		r.Resume()
+	}
+	s.paused = 0
+}
+
+// Leave implements handover.Predecessor.
+func (s *Succession) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.release {
+		f()
+	}
+	for _, r := range s.roles {
+		r.Leave()
+	}
+	close(s.left)
+}
+
+// registerHandover waits for a successor once every role has started.
+func registerHandover(lc fx.Lifecycle, o Options, s *Succession) {
+	if o.Settings.Handover == "" {
+		return
+	}
+	var server *handover.Server
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) (err error) {
+			server, err = handover.Listen(o.Settings.Handover, s, o.Log.Named("handover"))
+			return err
+		},
+		OnStop: func(context.Context) error { return server.Close() },
+	})
+}
--- a/daemon/internal/run/run.go
+++ b/daemon/internal/run/run.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"fulmarmount.org/daemon/internal/embedded"
+	"fulmarmount.org/daemon/internal/handover"
 	"fulmarmount.org/daemon/internal/node"
 	"fulmarmount.org/daemon/internal/settings"
 )
@@ -78,9 +79,14 @@
 
 // serve starts the process, waits for ctx and stops it gracefully.
 func serve(ctx context.Context, o node.Options) error {
-	dumper := node.NewDumper(o)
+	inherited, err := takeOver(o)
+	if err != nil {
+		return err
+	}
+	o.Inherited = inherited
+	dumper, succession := node.NewDumper(o), node.NewSuccession()
 	expvar.Publish("fulmarmount", expvar.Func(dumper.Counters))
-	app := node.New(o, dumper)
+	app := node.New(o, dumper, succession)
 	if err := startApp(app); err != nil {
 		return err
 	}
@@ -90,13 +96,28 @@
 	}
 	stop := handleSignals(dumper, o)
 	defer stop()
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-succession.Left():
+	}
 	o.Log.Named("process").Info("Stopping.", zap.Duration("limit", o.Settings.StopTimeout))
 	stopCtx, cancel := context.WithTimeout(context.Background(), o.Settings.StopTimeout)
 	defer cancel()
 	return app.Stop(stopCtx)
 }
 
+// takeOver asks a predecessor on this VM for what it holds.
+func takeOver(o node.Options) (handover.Bundle, error) {
+	if o.Settings.Handover == "" {
+		return nil, nil
+	}
+	bundle, err := handover.Take(o.Settings.Handover)
+	if err == nil && len(bundle) > 0 {
+		o.Log.Named("process").Info("Took over from the predecessor.", zap.Int("items", len(bundle)))
+	}
+	return bundle, err
+}
+
 func startApp(app *fx.App) error {
 	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
 	defer cancel()
--- a/daemon/internal/settings/check.go
+++ b/daemon/internal/settings/check.go
@@ -31,6 +31,9 @@
 	if len(out.Roles) > 0 && !out.Has(RoleControl) && len(out.Join.Control) == 0 {
 		p.section("join").Fail("control", "a process without role %q needs control addresses", RoleControl)
 	}
+	if out.Handover != "" && (out.Has(RoleAgent) || out.Has(RoleControl)) {
+		process.Fail("handover", "only a process whose one role is %q can hand over", RoleBalancer)
+	}
 	p.checkKeys(out, process)
 }
 
--- a/daemon/internal/settings/parse.go
+++ b/daemon/internal/settings/parse.go
@@ -109,6 +109,7 @@
 	out.DataDir = p.path(r.String("data_dir", ""))
 	out.LogLevel = r.Enum("log_level", "info", "debug", "info", "warn", "error")
 	out.StopTimeout = r.Duration("stop_timeout", defaultStopTimeout, 0, maxStopTimeout)
+	out.Handover = p.path(r.String("handover", ""))
 	for _, item := range r.List("roles") {
 		role := Role(item)
 		switch {
--- a/daemon/internal/settings/settings.go
+++ b/daemon/internal/settings/settings.go
@@ -33,6 +33,9 @@
 	LogLevel string
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
+	// Handover is the path of the unix socket on which a process and its
+	// successor meet; empty for none.
+	Handover string
 
 	TLS      TLS
 	Admin    Admin
