Answer keys from before a service's start at once

A key that was made before its home's history was answered as if holders were unavailable, so its caller waited until the deadline each time. Once the other members had time to tell their history, the answer is that the key is older than the records. The outcome stays unknown.

--- a/core/attempt/claim.go
+++ b/core/attempt/claim.go
@@ -18,7 +18,7 @@
 	ClaimExists                         // another attempt holds the key
 	ClaimMismatch                       // the key was used for another request
 	ClaimHeldBack                       // "not run" was said; earlier sends are refused
-	ClaimTooOld                         // made before the oldest records
+	ClaimTooOld                         // made before the oldest records, or before the holders started
 	ClaimInvalid                        // made in the future
 )
 
@@ -160,6 +160,7 @@
 	cfg ClaimsConfig
 	// since is the time from which every view is in earlier or now.
 	since     time.Time
+	started   time.Time
 	confirmed time.Time
 	now       *holders
 	earlier   []superseded
@@ -175,7 +176,7 @@
 // NewClaims returns a Claims without a view, which answers ClaimUnavailable.
 func NewClaims(now time.Time, cfg ClaimsConfig) *Claims {
 	return &Claims{
-		cfg: cfg, since: now, confirmed: now,
+		cfg: cfg, since: now, started: now, confirmed: now,
 		slots: make(map[string]*slot),
 		ops:   make(map[string]*op),
 		bySeq: make(map[uint64]*op),
--- a/core/attempt/claimop.go
+++ b/core/attempt/claimop.go
@@ -35,6 +35,10 @@
 func (SendHold) claimAction()   {}
 func (SendLookup) claimAction() {}
 
+// historyWait is how many answers' time a home waits for the history of other
+// members.
+const historyWait = 4
+
 // waiting is a request for a key on which an operation is under way.
 type waiting struct {
 	conversation uint64
@@ -212,13 +216,22 @@
 		s.set(now, o.best)
 	}
 	if s.entry.Revision == 0 && !covered {
-		c.endOp(now, o, ClaimReply{})
+		c.endOp(now, o, ClaimReply{Status: c.uncovered(now)})
 		return
 	}
 	s.floor = o.version
 	c.decide(now, o)
 }
 
+// uncovered is the answer about a key from before the history of this home. The
+// history of other members is awaited for a while.
+func (c *Claims) uncovered(now time.Time) ClaimStatus {
+	if now.Sub(c.started) < historyWait*c.cfg.Answer {
+		return ClaimUnavailable
+	}
+	return ClaimTooOld
+}
+
 // decide answers the request from the home's own slot, which is up to date.
 func (c *Claims) decide(now time.Time, o *op) {
 	s := c.slots[o.request.Key]
