Serve request mode in the balancer and agent roles

A service in request mode had no listener. The balancer now serves HTTP on its addresses by the gateway, the agent runs requests and holds claims, both dump what they hold and count, and a graceful stop waits for requests in flight. Services carry their classes, repeatable routes and settings to daemons; without them the fleet's defaults hold.

--- a/daemon/internal/gateway/agent.go
+++ b/daemon/internal/gateway/agent.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"io"
 	"net/netip"
+	"reflect"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"fulmarmount.org/core/admission"
 	"fulmarmount.org/core/attempt"
+	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/peer"
@@ -63,12 +65,13 @@
 type Agent struct {
 	o       AgentOptions
 	started time.Time
-	gate    *gate
 	backend *backend
 	claims  *claims
-	stats   AgentStats
+	stats   agentStats
 
 	mu     sync.Mutex
+	policy Policy
+	gate   *gate
 	record *attempt.Record
 	// live are the repeatable attempts that are queued or run.
 	live map[attempt.ID]bool
@@ -79,9 +82,9 @@
 	tasks  sync.WaitGroup
 }
 
-// AgentStats counts what an agent did.
-type AgentStats struct {
-	Runs, Shed, Fenced, Failed, Settled, Fetched expvar.Int
+// agentStats counts what an agent did.
+type agentStats struct {
+	runs, shed, fenced, failed, settled, fetched expvar.Int
 }
 
 // NewAgent returns an agent that serves until Close.
@@ -92,6 +95,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		o:       o,
+		policy:  o.Policy,
 		started: o.Now(),
 		backend: newBackend(o.Backend),
 		live:    make(map[attempt.ID]bool),
@@ -106,8 +110,7 @@
 			MaxBytes:    maxAnswers,
 		}),
 	}
-	ramp := a.ramp()
-	a.gate = newGate(o.Now, ramp.Slots(a.started, o.Slots), o.Policy.admissionClasses("", agentQueue))
+	a.gate = newGate(o.Now, a.ramp().Slots(a.started, o.Slots), o.Policy.admissionClasses(fleet.Whole, "", agentQueue))
 	a.claims = newClaims(ctx, o, &a.tasks)
 	a.tasks.Go(func() { a.tick(ctx) })
 	return a
@@ -128,14 +131,35 @@
 // SetView adopts a view of the agent's service.
 func (a *Agent) SetView(v *view.View) { a.claims.setView(v) }
 
+// SetPolicy changes the policy of the service. Requests in flight keep the
+// slots that they have.
+func (a *Agent) SetPolicy(p Policy) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if reflect.DeepEqual(a.policy, p) {
+		return
+	}
+	a.policy = p
+	a.gate = newGate(a.o.Now, a.ramp().Slots(a.o.Now(), a.o.Slots), p.admissionClasses(fleet.Whole, "", agentQueue))
+}
+
+// admission returns the gate in force and the class of an urgency in it.
+func (a *Agent) admission(urgency uint8) (*gate, int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate, a.policy.class(urgency)
+}
+
+func (a *Agent) load() int {
+	g, _ := a.admission(0)
+	return g.load()
+}
+
 // Confirm reports that the view in force was found to be current.
 func (a *Agent) Confirm() { a.claims.confirm() }
 
 // Busy reports whether requests run or wait.
-func (a *Agent) Busy() bool { return a.gate.load() > 0 }
-
-// Stats returns the agent's counters.
-func (a *Agent) Stats() *AgentStats { return &a.stats }
+func (a *Agent) Busy() bool { return a.load() > 0 }
 
 // AgentState is the agent's part of a state dump.
 type AgentState struct {
@@ -143,14 +167,25 @@
 	Recorded    int `json:"recorded"`
 	AnswerBytes int `json:"answer_bytes"`
 	Claims      int `json:"claims"`
+	// Runs, Shed, Fenced, Failed, Settled and Fetched count attempts since
+	// the start.
+	Runs    int64 `json:"runs"`
+	Shed    int64 `json:"shed"`
+	Fenced  int64 `json:"fenced"`
+	Failed  int64 `json:"failed"`
+	Settled int64 `json:"settled"`
+	Fetched int64 `json:"fetched"`
 }
 
 // State returns what the agent holds.
 func (a *Agent) State() AgentState {
+	load := a.load()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return AgentState{
-		Load: a.gate.load(), Recorded: a.record.Len(), AnswerBytes: a.record.Bytes(), Claims: a.claims.len(),
+		Load: load, Recorded: a.record.Len(), AnswerBytes: a.record.Bytes(), Claims: a.claims.len(),
+		Runs: a.stats.runs.Value(), Shed: a.stats.shed.Value(), Fenced: a.stats.fenced.Value(),
+		Failed: a.stats.failed.Value(), Settled: a.stats.settled.Value(), Fetched: a.stats.fetched.Value(),
 	}
 }
 
@@ -189,9 +224,9 @@
 			return
 		case <-ticker.C:
 		}
-		ramp := a.ramp()
-		a.gate.setSlots(ramp.Slots(a.o.Now(), a.o.Slots))
-		a.gate.tick()
+		g, _ := a.admission(0)
+		g.setSlots(a.ramp().Slots(a.o.Now(), a.o.Slots))
+		g.tick()
 		a.claims.tick()
 	}
 }
@@ -220,7 +255,7 @@
 		s.Abort()
 		return
 	}
-	a.stats.Settled.Add(1)
+	a.stats.settled.Add(1)
 	a.mu.Lock()
 	state, answer := attempt.StateUnknown, (*attempt.Answer)(nil)
 	switch {
@@ -246,7 +281,7 @@
 		s.Abort()
 		return
 	}
-	a.stats.Fetched.Add(1)
+	a.stats.fetched.Add(1)
 	head, err := heldHead(in.ID, answer)
 	if err != nil {
 		s.Abort()
--- a/daemon/internal/gateway/exchange.go
+++ b/daemon/internal/gateway/exchange.go
@@ -89,13 +89,13 @@
 func (e *exchange) count() {
 	switch {
 	case e.result.Outcome == attempt.Answered:
-		e.g.stats.Answered.Add(1)
+		e.g.stats.answered.Add(1)
 	case e.result.Abort:
-		e.g.stats.Aborted.Add(1)
+		e.g.stats.aborted.Add(1)
 	case e.result.Outcome == attempt.NotRun:
-		e.g.stats.NotRun.Add(1)
+		e.g.stats.notRun.Add(1)
 	default:
-		e.g.stats.Unknown.Add(1)
+		e.g.stats.unknown.Add(1)
 	}
 }
 
@@ -150,7 +150,7 @@
 		e.admitted, e.leave = true, leave
 		e.s.deposit()
 	} else {
-		e.g.stats.Retries.Add(1)
+		e.g.stats.retries.Add(1)
 	}
 	target, ok := e.s.route(e.g.o.Now(), e.g.random(), act.Exclude)
 	if !ok {
--- a/daemon/internal/gateway/fixture_test.go
+++ b/daemon/internal/gateway/fixture_test.go
@@ -79,7 +79,7 @@
 		f.gateways = append(f.gateways, g)
 		g.SetServices([]Service{{ID: testService, Name: "desk", Policy: policy}})
 		front := httptest.NewUnstartedServer(g.Handler(testService))
-		front.Config = g.Server(testService)
+		front.Config = g.Server(g.Handler(testService))
 		front.Start()
 		f.fronts = append(f.fronts, front)
 	}
--- a/daemon/internal/gateway/gateway.go
+++ b/daemon/internal/gateway/gateway.go
@@ -61,10 +61,10 @@
 	maxHeader     = 64 << 10 // bytes
 )
 
-// Server returns an HTTP server for the addresses of a service.
-func (g *Gateway) Server(id view.ServiceID) *http.Server {
+// Server returns an HTTP server for callers, with a handler made of Handler.
+func (g *Gateway) Server(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           g.Handler(id),
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
@@ -83,7 +83,7 @@
 type Gateway struct {
 	o        Options
 	sequence atomic.Uint64
-	stats    Stats
+	stats    stats
 
 	randomMu sync.Mutex
 
@@ -95,9 +95,21 @@
 	tasks  sync.WaitGroup
 }
 
-// Stats counts the requests of a gateway.
-type Stats struct {
-	Requests, Answered, NotRun, Unknown, Aborted, Retries expvar.Int
+// stats counts the requests of a gateway.
+type stats struct {
+	requests, answered, notRun, unknown, aborted, retries expvar.Int
+}
+
+// Counters are the counts of requests by how they ended.
+type Counters struct {
+	Requests int64 `json:"requests"`
+	Answered int64 `json:"answered"`
+	NotRun   int64 `json:"not_run"`
+	Unknown  int64 `json:"unknown"`
+	// Aborted answers broke off after they had begun.
+	Aborted int64 `json:"aborted"`
+	// Retries are sends after the first.
+	Retries int64 `json:"retries"`
 }
 
 // service is the state of one service. Its lock covers the pure parts.
@@ -130,8 +142,17 @@
 	g.tasks.Wait()
 }
 
-// Stats returns the gateway's counters.
-func (g *Gateway) Stats() *Stats { return &g.stats }
+// Counters returns the counts so far.
+func (g *Gateway) Counters() Counters {
+	return Counters{
+		Requests: g.stats.requests.Value(),
+		Answered: g.stats.answered.Value(),
+		NotRun:   g.stats.notRun.Value(),
+		Unknown:  g.stats.unknown.Value(),
+		Aborted:  g.stats.aborted.Value(),
+		Retries:  g.stats.retries.Value(),
+	}
+}
 
 // SetServices replaces the services. What is known of those that stay is kept;
 // requests in flight keep the slots that they have.
@@ -140,7 +161,8 @@
 	defer g.mu.Unlock()
 	next := make(map[view.ServiceID]*service, len(services))
 	var classes []admission.Class
-	for _, s := range services {
+	parts := shares(services)
+	for i, s := range services {
 		state := &service{Service: s, firstClass: len(classes)}
 		if old := g.services[s.ID]; old != nil {
 			old.mu.Lock()
@@ -150,7 +172,7 @@
 			state.hosts = g.newHosts(s.Policy)
 			state.budget = attempt.NewBudget(s.Policy.RetryRatio, retryBurst)
 		}
-		classes = append(classes, s.Policy.admissionClasses(s.Name+"/", gatewayQueue)...)
+		classes = append(classes, s.Policy.admissionClasses(parts[i], s.Name+"/", gatewayQueue)...)
 		next[s.ID] = state
 	}
 	g.services = next
--- a/daemon/internal/gateway/handler.go
+++ b/daemon/internal/gateway/handler.go
@@ -23,7 +23,7 @@
 // Handler returns the HTTP handler of a service's addresses.
 func (g *Gateway) Handler(id view.ServiceID) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		g.stats.Requests.Add(1)
+		g.stats.requests.Add(1)
 		s := g.service(id)
 		if s == nil {
 			refuse(w, attempt.Result{Outcome: attempt.NotRun, Reason: attempt.ReasonNoServer})
@@ -31,7 +31,7 @@
 		}
 		e, ok := g.newExchange(s, w, r)
 		if !ok {
-			g.stats.NotRun.Add(1)
+			g.stats.notRun.Add(1)
 			return
 		}
 		e.serve()
--- a/daemon/internal/gateway/policy.go
+++ b/daemon/internal/gateway/policy.go
@@ -7,31 +7,17 @@
 	"time"
 
 	"fulmarmount.org/core/admission"
+	"fulmarmount.org/core/fleet"
+	"fulmarmount.org/daemon/internal/proto"
 )
 
-// Route matches requests by method and path prefix.
-type Route struct {
-	Method string
-	Prefix string
-}
-
-// Class is the requests within a range of urgencies (RFC 9218, section 4.1): 0
-// is the most urgent and 7 the least.
-type Class struct {
-	Name        string
-	MostUrgent  uint8
-	LeastUrgent uint8
-	// Share is the class's part of the service, relative to the other classes.
-	Share int
-}
-
 // Policy is how requests of one service are handled.
 type Policy struct {
 	// Classes cover all urgencies. An urgency in no class falls into the last.
-	Classes []Class
+	Classes []fleet.Class
 	// Repeatable lists the requests that may run more than once, besides GET,
 	// HEAD and OPTIONS.
-	Repeatable []Route
+	Repeatable []fleet.Route
 	// Deadline ends a request whose caller names none, and bounds those named.
 	Deadline time.Duration
 	// QueueTime is the longest wait for a slot.
@@ -42,24 +28,46 @@
 	MaxEjected float64
 	// HedgeAfter is when a repeatable request is sent a second time; 0 for never.
 	HedgeAfter time.Duration
-	// Share is the service's part of a gateway, relative to other services.
-	Share int
+	// Share is the service's part of a gateway; zero stands for the mean part.
+	Share fleet.Share
+}
+
+// defaultClasses divide a service whose operators set no classes.
+var defaultClasses = []fleet.Class{
+	{Name: "urgent", MostUrgent: 0, LeastUrgent: 2, Share: fleet.Whole / 2},
+	{Name: "normal", MostUrgent: 3, LeastUrgent: 4, Share: fleet.Whole / 4},
+	{Name: "background", MostUrgent: 5, LeastUrgent: 7, Share: fleet.Whole / 4},
 }
 
 // DefaultPolicy returns the policy of a service whose operators set none.
-func DefaultPolicy() Policy {
-	return Policy{
-		Classes: []Class{
-			{Name: "urgent", MostUrgent: 0, LeastUrgent: 2, Share: 2},
-			{Name: "normal", MostUrgent: 3, LeastUrgent: 4, Share: 1},
-			{Name: "background", MostUrgent: 5, LeastUrgent: 7, Share: 1},
-		},
-		Deadline:   10 * time.Second,
-		QueueTime:  500 * time.Millisecond,
-		RetryRatio: 0.1,
-		MaxEjected: 0.3,
-		Share:      1,
+func DefaultPolicy() Policy { return PolicyOf(&fleet.Service{}, fleet.DefaultSettings()) }
+
+// PolicyFor returns the policy of a service as daemons are told of it.
+func PolicyFor(s proto.Service) Policy {
+	in := fleet.DefaultSettings()
+	if s.Settings != nil {
+		in = *s.Settings
 	}
+	return PolicyOf(&fleet.Service{Share: s.Share, Classes: s.Classes, Repeatable: s.Repeatable}, in)
+}
+
+const percent = 0.01
+
+// PolicyOf returns the policy of a service under the settings in force for it.
+func PolicyOf(s *fleet.Service, in fleet.Settings) Policy {
+	p := Policy{
+		Classes:    s.Classes,
+		Repeatable: s.Repeatable,
+		Deadline:   in.Deadline,
+		QueueTime:  in.QueueTime,
+		RetryRatio: float64(in.RetryBudget) * percent,
+		MaxEjected: float64(in.MaxEjected) * percent,
+		Share:      s.Share,
+	}
+	if len(p.Classes) == 0 {
+		p.Classes = defaultClasses
+	}
+	return p
 }
 
 const (
@@ -92,18 +100,39 @@
 	return false
 }
 
-// admissionClasses returns the classes for a limiter. Queues hold at most
-// perClass requests.
-func (p *Policy) admissionClasses(prefix string, perClass int) []admission.Class {
+// admissionClasses returns the classes for a limiter that gives the service the
+// part share of it. Queues hold at most perClass requests.
+func (p *Policy) admissionClasses(share fleet.Share, prefix string, perClass int) []admission.Class {
 	var out []admission.Class
 	for _, c := range p.Classes {
 		out = append(out, admission.Class{
-			Name: prefix + c.Name, Share: c.Share * max(1, p.Share), MaxWait: p.QueueTime, MaxQueue: perClass,
+			Name: prefix + c.Name, Share: max(1, int(share)) * max(1, int(c.Share)),
+			MaxWait: p.QueueTime, MaxQueue: perClass,
 		})
 	}
 	return out
 }
 
+// shares returns the part of each service, as in fleet.Service: services
+// without a share of their own split what the others leave.
+func shares(services []Service) []fleet.Share {
+	out := make([]fleet.Share, len(services))
+	left, without := fleet.Whole, fleet.Share(0)
+	for i := range services {
+		out[i] = services[i].Policy.Share
+		left -= min(left, out[i])
+		if out[i] == 0 {
+			without++
+		}
+	}
+	for i := range out {
+		if out[i] == 0 {
+			out[i] = max(1, left/without)
+		}
+	}
+	return out
+}
+
 // urgency reads the Priority header field.
 func urgency(h http.Header) uint8 {
 	for member := range strings.SplitSeq(h.Get("Priority"), ",") {
--- a/daemon/internal/gateway/run.go
+++ b/daemon/internal/gateway/run.go
@@ -36,9 +36,10 @@
 	}
 	queued, stop := context.WithDeadline(r.s.Context(), r.deadline)
 	defer stop()
-	leave, d := r.a.gate.enter(queued, r.a.o.Policy.class(r.open.Urgency), r.deadline)
+	g, class := r.a.admission(r.open.Urgency)
+	leave, d := g.enter(queued, class, r.deadline)
 	if d.Verdict != admission.Start {
-		r.a.stats.Shed.Add(1)
+		r.a.stats.shed.Add(1)
 		r.fence(d.RetryAfter)
 		return
 	}
@@ -49,7 +50,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	r.a.stats.Runs.Add(1)
+	r.a.stats.runs.Add(1)
 	r.call(ctx)
 }
 
@@ -83,7 +84,7 @@
 
 func (r *run) refuse(state attempt.State, retryAfter time.Duration) {
 	_ = r.s.Send(answerHead{
-		ID: r.open.ID, Refused: true, State: state, RetryAfter: retryAfter, Load: r.a.gate.load(),
+		ID: r.open.ID, Refused: true, State: state, RetryAfter: retryAfter, Load: r.a.load(),
 	})
 }
 
@@ -101,7 +102,7 @@
 		r.refuse(attempt.StateUnknown, 0)
 		return
 	}
-	r.a.stats.Fenced.Add(1)
+	r.a.stats.fenced.Add(1)
 	r.refuse(attempt.StateFenced, retryAfter)
 }
 
@@ -120,7 +121,7 @@
 }
 
 func (r *run) fail() {
-	r.a.stats.Failed.Add(1)
+	r.a.stats.failed.Add(1)
 	r.done(nil, true)
 	r.s.Abort()
 }
@@ -137,7 +138,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if retryAfter, shed := shedBy(resp); shed {
-		r.a.stats.Shed.Add(1)
+		r.a.stats.shed.Add(1)
 		r.fence(retryAfter)
 		return
 	}
@@ -168,7 +169,7 @@
 func (r *run) head(resp *http.Response) (answerHead, error) {
 	h := answerHead{
 		ID: r.open.ID, Status: resp.StatusCode, Header: endToEnd(resp.Header),
-		Length: resp.ContentLength, Load: r.a.gate.load(),
+		Length: resp.ContentLength, Load: r.a.load(),
 	}
 	if r.open.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		h.Length = 0
--- a/daemon/internal/node/roles.go
+++ b/daemon/internal/node/roles.go
@@ -64,6 +64,7 @@
 	s := o.Settings.Balancer
 	return balancer.Start(balancer.Options{
 		Name:       o.Settings.Name,
+		Zone:       o.Settings.Zone,
 		Control:    o.Settings.Join.Control,
 		Packets:    s.Packets,
 		Spray:      o.Spray,
--- a/daemon/internal/proto/proto.go
+++ b/daemon/internal/proto/proto.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/core/view"
 )
 
@@ -34,8 +35,9 @@
 
 // The modes of a service.
 const (
-	ModePacket Mode = "packet" // UDP datagrams, flow by flow
-	ModeStream Mode = "stream" // TCP connections
+	ModePacket  Mode = "packet"  // UDP datagrams, flow by flow
+	ModeStream  Mode = "stream"  // TCP connections
+	ModeRequest Mode = "request" // HTTP requests, each with an outcome of its own
 )
 
 // Service is what daemons need to know of a service.
@@ -44,6 +46,12 @@
 	Name      string           `cbor:"2,keyasint"`
 	Mode      Mode             `cbor:"3,keyasint"`
 	Addresses []netip.AddrPort `cbor:"4,keyasint"`
+	// Share, Classes and Repeatable are as in fleet.Service.
+	Share      fleet.Share   `cbor:"5,keyasint,omitempty"`
+	Classes    []fleet.Class `cbor:"6,keyasint,omitempty"`
+	Repeatable []fleet.Route `cbor:"7,keyasint,omitempty"`
+	// Settings are those in force for the service; nil stands for the defaults.
+	Settings *fleet.Settings `cbor:"8,keyasint,omitempty"`
 }
 
 // TunnelOpen asks an agent to connect to its backend server.
--- a/daemon/internal/role/agent/agent.go
+++ b/daemon/internal/role/agent/agent.go
@@ -12,8 +12,10 @@
 
 	"go.uber.org/zap"
 
+	"fulmarmount.org/core/attempt"
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/gateway"
 	"fulmarmount.org/daemon/internal/packet"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
@@ -72,6 +74,7 @@
 	envelopes *udp.Conn
 	server    *peer.Server
 	pool      *peer.Pool
+	requests  *gateway.Agent
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 	tunnels   atomic.Int64
@@ -99,14 +102,26 @@
 		left:      make(chan struct{}),
 	}
 	a.flows.init()
+	a.requests = gateway.NewAgent(gateway.AgentOptions{
+		Self:    attempt.Target{Server: o.ID, Incarnation: o.Incarnation},
+		Backend: o.Backend,
+		Slots:   int(o.Slots),
+		Policy:  gateway.DefaultPolicy(),
+		Pool:    a.pool,
+		Now:     o.Now,
+		Log:     o.Log.Named("requests"),
+	})
+	handlers := a.requests.Handlers()
+	handlers[proto.Tunnel] = a.tunnel
 	a.server, err = peer.Listen(peer.ServerOptions{
 		Addr:     o.Requests,
 		TLS:      o.ServerTLS,
 		Log:      o.Log,
-		Handlers: map[string]peer.Handler{proto.Tunnel: a.tunnel},
+		Handlers: handlers,
 	})
 	if err != nil {
 		cancel()
+		a.requests.Close()
 		_ = envelopes.Close()
 		return nil, err
 	}
@@ -149,25 +164,32 @@
 	return a.Close()
 }
 
-// busy reports whether the agent holds flows or tunnels.
-func (a *Agent) busy() bool { return a.tunnels.Load() > 0 || a.flows.count() > 0 }
+// busy reports whether the agent holds flows, tunnels or requests.
+func (a *Agent) busy() bool {
+	return a.tunnels.Load() > 0 || a.flows.count() > 0 || a.requests.Busy()
+}
 
 // Close ends every flow and closes the sockets.
 func (a *Agent) Close() error {
 	a.cancel()
 	err := a.envelopes.Close()
 	a.flows.closeAll()
+	a.requests.Close()
 	_ = a.server.Close()
 	a.pool.Close()
 	a.tasks.Wait()
 	return err
 }
 
-// adopt notes the ID of the agent's own service.
+// adopt notes the configuration and the view of the agent's own service.
 func (a *Agent) adopt(u proto.Update) {
 	for _, s := range u.Services {
 		if s.Name == a.options.Service {
 			a.service.Store(uint32(s.ID))
+			a.requests.SetPolicy(gateway.PolicyFor(s))
 		}
 	}
+	for _, v := range u.Views {
+		a.requests.SetView(v)
+	}
 }
--- a/daemon/internal/role/agent/dump.go
+++ b/daemon/internal/role/agent/dump.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/gateway"
 )
 
 // Dump is the state of an agent.
@@ -17,6 +18,8 @@
 	Backend     netip.AddrPort   `json:"backend"`
 	Flows       int              `json:"flows"`
 	Counters    Counters         `json:"counters"`
+	// Requested is what the agent holds of requests in request mode.
+	Requested gateway.AgentState `json:"requested"`
 }
 
 // Counters are the values of Stats and the open tunnels at one time.
@@ -40,6 +43,7 @@
 		Backend:     a.options.Backend,
 		Flows:       a.flows.count(),
 		Counters:    a.counters(),
+		Requested:   a.requests.State(),
 	}
 }
 
--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/gateway"
 	"fulmarmount.org/daemon/internal/packet"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
@@ -24,6 +25,8 @@
 type Options struct {
 	// Name is the VM's name.
 	Name string
+	// Zone is the availability zone.
+	Zone string
 	// Control are the addresses of control processes.
 	Control []netip.AddrPort
 	// Packets is the UDP address for envelopes to and from agents.
@@ -61,6 +64,8 @@
 	opener    *packet.Opener
 	envelopes *udp.Conn
 	pool      *peer.Pool
+	gateway   *gateway.Gateway
+	ctx       context.Context
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 
@@ -95,9 +100,11 @@
 		opener:    packet.NewOpener(o.Keys, o.Now),
 		envelopes: envelopes,
 		pool:      peer.NewPool(o.TLS),
+		ctx:       ctx,
 		cancel:    cancel,
 		listeners: make(map[listenKey]listener),
 	}
+	b.gateway = b.newGateway()
 	b.tasks.Go(b.readEnvelopes)
 	b.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
@@ -116,6 +123,7 @@
 // ctx ends, and closes every socket.
 func (b *Balancer) Stop(ctx context.Context) error {
 	b.closeListeners(proto.ModeStream)
+	b.closeListeners(proto.ModeRequest)
 	wait(ctx, &b.streams)
 	return b.Close()
 }
@@ -150,7 +158,9 @@
 func (b *Balancer) Close() error {
 	b.cancel()
 	b.closeListeners(proto.ModeStream)
+	b.closeListeners(proto.ModeRequest)
 	b.closeListeners(proto.ModePacket)
+	b.gateway.Close()
 	err := b.envelopes.Close()
 	b.pool.Close()
 	b.tasks.Wait()
@@ -160,7 +170,9 @@
 // adopt puts an update in force.
 func (b *Balancer) adopt(u proto.Update) {
 	services := b.table.adopt(u)
-	if len(u.Services) > 0 || len(u.Removed) > 0 {
+	changed := len(u.Services) > 0 || len(u.Removed) > 0
+	b.adoptRequests(services, changed)
+	if changed {
 		b.reconcile(services)
 	}
 }
@@ -206,10 +218,14 @@
 }
 
 func (b *Balancer) listen(key listenKey) (listener, error) {
-	if key.mode == proto.ModeStream {
+	switch key.mode {
+	case proto.ModeStream:
 		return b.listenStream(key.addr)
+	case proto.ModeRequest:
+		return b.listenRequests(key.addr)
+	default:
+		return b.listenPacket(key.addr)
 	}
-	return b.listenPacket(key.addr)
 }
 
 // target is the agent that a flow goes to.
--- a/daemon/internal/role/balancer/dump.go
+++ b/daemon/internal/role/balancer/dump.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/gateway"
 )
 
 // Dump is the state of a balancer.
@@ -22,11 +23,13 @@
 	Oversize  uint64 `json:"oversize"`
 	Refused   uint64 `json:"refused"`
 	Failed    uint64 `json:"failed"`
+	// Requests counts the requests of services in request mode.
+	Requests gateway.Counters `json:"requests"`
 }
 
 // Dump returns the balancer's state.
 func (b *Balancer) Dump() any {
-	d := Dump{Envelopes: b.envelopes.Addr(), Counters: b.stats.counters()}
+	d := Dump{Envelopes: b.envelopes.Addr(), Counters: b.counters()}
 	b.mu.Lock()
 	for key := range b.listeners {
 		d.Listeners = append(d.Listeners, key.addr)
@@ -37,7 +40,13 @@
 }
 
 // Counters returns the packet counters.
-func (b *Balancer) Counters() any { return b.stats.counters() }
+func (b *Balancer) Counters() any { return b.counters() }
+
+func (b *Balancer) counters() Counters {
+	c := b.stats.counters()
+	c.Requests = b.gateway.Counters()
+	return c
+}
 
 func (s *Stats) counters() Counters {
 	return Counters{
--- a/daemon/internal/role/balancer/table.go
+++ b/daemon/internal/role/balancer/table.go
@@ -94,6 +94,14 @@
 	return target{service: id, view: v.Version, member: &v.Members[i]}, true
 }
 
+// service returns the service of an address.
+func (t *table) service(addr netip.AddrPort) (view.ServiceID, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	id, ok := t.addresses[addr]
+	return id, ok
+}
+
 // members returns the size of a service's view.
 func (t *table) members(id view.ServiceID) int {
 	t.mu.RLock()
