--- a/daemon/internal/ctl/ctl_test.go
+++ b/daemon/internal/ctl/ctl_test.go
@@ -62,7 +62,7 @@
 }
 
 func (c *control) Members() []admin.Member {
-	return []admin.Member{{Service: "order-desk", ID: "order-desk-1", Zone: "sejong-a", State: "draining", Load: 41}}
+	return []admin.Member{{Service: "order-desk", ID: "order-desk-1", Zone: "sejong-a", State: "draining", Flows: 41, Reasons: []string{"drained by an operator"}}}
 }
 
 func (c *control) Replicas(context.Context) ([]admin.Replica, error) {
@@ -164,11 +164,15 @@
 		{"rollback --wait --to 1", exitOK, "version 3 is accepted\nin force on 3 of 3 daemons"},
 		{"rollback --to 77", exitFailed, "there is no such version"},
 		{"diff 1 3", exitOK, ""},
+		{"patch --expect 3 " + b.file("status.ini", strings.ReplaceAll(two, "10.1.0.", "10.1.1.")), exitOK, "version 4 is accepted"},
+		{"patch --expect 3 --delete service.order-desk", exitConflict, "expected version 3, but version 4 is in force"},
+		{"patch --delete service.gone", exitFailed, "[service.gone] there is no such section to delete"},
+		{"patch", exitUsage, "one file, or --delete, is needed"},
 		{"history", exitOK, "1        2026-03-01T09:00:00Z"},
 		{"drain -m disk order-desk-1", exitOK, "drain of order-desk-1 is accepted"},
 		{"status", exitOK, "drain of order-desk-1 since 2026-03-01T09:00:00Z"},
-		{"status", exitOK, "order-desk  order-desk-1    sejong-a  draining  0       41    -"},
-		{"status --json", exitOK, `"version": 3`},
+		{"status", exitOK, "order-desk  order-desk-1    sejong-a  draining  0       41     0     drained by an operator"},
+		{"status --json", exitOK, `"version": 4`},
 		{"drain --cancel order-desk-1", exitOK, "cancel drain of order-desk-1 is accepted"},
 		{"drain --cancel order-desk-1", exitFailed, "there is no such version or drain"},
 		{"drain ORDER", exitFailed, `"ORDER" is not the name of a backend server`},
--- a/daemon/internal/gateway/policy.go
+++ b/daemon/internal/gateway/policy.go
@@ -44,9 +44,9 @@
 
 // PolicyFor returns the policy of a service as daemons are told of it.
 func PolicyFor(s proto.Service) Policy {
-	in := fleet.DefaultSettings()
-	if s.Settings != nil {
-		in = *s.Settings
+	in := s.Settings
+	if in == (fleet.Settings{}) {
+		in = fleet.DefaultSettings()
 	}
 	return PolicyOf(&fleet.Service{Share: s.Share, Classes: s.Classes, Repeatable: s.Repeatable}, in)
 }
--- a/daemon/internal/proto/proto.go
+++ b/daemon/internal/proto/proto.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"fulmarmount.org/core/fleet"
@@ -28,6 +29,9 @@
 	Reason string `cbor:"2,keyasint,omitempty"`
 	// Lease is how long the announcement holds without a renewal.
 	Lease time.Duration `cbor:"3,keyasint"`
+	// Loads are the flows owned by agents of the service, the announcing one
+	// included.
+	Loads []view.Load `cbor:"4,keyasint,omitempty"`
 }
 
 // Mode is how a service is balanced.
@@ -42,16 +46,23 @@
 
 // Service is what daemons need to know of a service.
 type Service struct {
-	ID        view.ServiceID   `cbor:"1,keyasint"`
-	Name      string           `cbor:"2,keyasint"`
-	Mode      Mode             `cbor:"3,keyasint"`
-	Addresses []netip.AddrPort `cbor:"4,keyasint"`
-	// Share, Classes and Repeatable are as in fleet.Service.
-	Share      fleet.Share   `cbor:"5,keyasint,omitempty"`
-	Classes    []fleet.Class `cbor:"6,keyasint,omitempty"`
-	Repeatable []fleet.Route `cbor:"7,keyasint,omitempty"`
-	// Settings are those in force for the service; nil stands for the defaults.
-	Settings *fleet.Settings `cbor:"8,keyasint,omitempty"`
+	ID         view.ServiceID   `cbor:"1,keyasint"`
+	Name       string           `cbor:"2,keyasint"`
+	Mode       Mode             `cbor:"3,keyasint"`
+	Addresses  []netip.AddrPort `cbor:"4,keyasint"`
+	Share      fleet.Share      `cbor:"5,keyasint,omitempty"`
+	Classes    []fleet.Class    `cbor:"6,keyasint,omitempty"`
+	Repeatable []fleet.Route    `cbor:"7,keyasint,omitempty"`
+	// Settings are in force for the service as a whole.
+	Settings fleet.Settings `cbor:"8,keyasint"`
+}
+
+// Equal reports whether both tell daemons the same.
+func (s *Service) Equal(o *Service) bool {
+	return s.ID == o.ID && s.Name == o.Name && s.Mode == o.Mode && s.Share == o.Share && s.Settings == o.Settings &&
+		slices.Equal(s.Addresses, o.Addresses) &&
+		slices.Equal(s.Classes, o.Classes) &&
+		slices.Equal(s.Repeatable, o.Repeatable)
 }
 
 // TunnelOpen asks an agent to connect to its backend server.
