--- a/daemon/internal/node/node.go
+++ b/daemon/internal/node/node.go
@@ -13,6 +13,7 @@
 	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/daemon/internal/admin"
 	"fulmarmount.org/daemon/internal/fleetstore"
+	"fulmarmount.org/daemon/internal/handover"
 	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/settings"
 )
@@ -27,6 +28,8 @@
 	// Spray is the number of balancers on this host that share the service
 	// addresses packet by packet; 0 where the fabric does that.
 	Spray int
+	// Inherited is what a predecessor on the same VM has handed over.
+	Inherited handover.Bundle
 	// Store is the replicated state that the control role publishes; nil in
 	// processes without that role.
 	Store *fleetstore.Store
--- a/daemon/internal/role/balancer/requests.go
+++ b/daemon/internal/role/balancer/requests.go
@@ -1,15 +1,14 @@
 package balancer
 
 import (
-	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
+	"sync"
 
 	"fulmarmount.org/daemon/internal/gateway"
 	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/udp"
+	"fulmarmount.org/daemon/internal/splice"
 )
 
 func (b *Balancer) newGateway() *gateway.Gateway {
@@ -40,37 +39,60 @@
 	}
 }
 
-// requestListener serves HTTP callers on a service address.
-type requestListener struct {
-	b      *Balancer
-	server *http.Server
+// connQueue hands accepted connections to the HTTP server, so that the sockets
+// on the service addresses stay the balancer's.
+type connQueue struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
 }
 
-func (b *Balancer) listenRequests(addr netip.AddrPort) (listener, error) {
-	config := &net.ListenConfig{}
-	if b.options.Spray > 0 {
-		config = udp.ReusePort()
-	}
-	l, err := config.Listen(context.Background(), "tcp4", addr.String())
-	if err != nil {
-		return nil, err
+func newConnQueue() *connQueue {
+	return &connQueue{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (q *connQueue) Accept() (net.Conn, error) {
+	select {
+	case conn := <-q.conns:
+		return conn, nil
+	case <-q.closed:
+		return nil, net.ErrClosed
 	}
-	r := &requestListener{b: b, server: b.gateway.Server(http.HandlerFunc(b.serveRequest))}
-	b.tasks.Go(func() { _ = r.server.Serve(l) }) // ends with an error on Close
-	return r, nil
 }
 
-// Close takes no new connections and lets requests in flight end, until the
-// balancer closes.
-func (r *requestListener) Close() error {
-	r.b.streams.Go(func() {
-		if r.server.Shutdown(r.b.ctx) != nil {
-			_ = r.server.Close()
-		}
-	})
+// Close implements net.Listener.
+func (q *connQueue) Close() error {
+	q.once.Do(func() { close(q.closed) })
 	return nil
 }
 
+// Addr implements net.Listener.
+func (q *connQueue) Addr() net.Addr { return &net.TCPAddr{} }
+
+// startRequests starts the gateway and its HTTP server.
+func (b *Balancer) startRequests() {
+	b.gateway = b.newGateway()
+	b.callers = newConnQueue()
+	b.server = b.gateway.Server(http.HandlerFunc(b.serveRequest))
+	b.tasks.Go(func() { _ = b.server.Serve(b.callers) }) // ends with an error on Close
+}
+
+// acceptRequests takes connections on one service address.
+func (b *Balancer) acceptRequests(l *net.TCPListener) {
+	for {
+		conn, err := l.AcceptTCP()
+		if err != nil {
+			return
+		}
+		select {
+		case b.callers.conns <- conn:
+		case <-b.callers.closed:
+			splice.Reset(conn)
+		}
+	}
+}
+
 // serveRequest finds the service by the address that the caller connected to.
 func (b *Balancer) serveRequest(w http.ResponseWriter, r *http.Request) {
 	local, ok := r.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr)
