--- a/daemon/internal/role/balancer/handover.go
+++ b/daemon/internal/role/balancer/handover.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"time"
@@ -98,6 +99,8 @@
 	b.cancel()
 	b.closeListeners(proto.ModePacket)
 	b.closeListeners(proto.ModeStream)
+	b.closeListeners(proto.ModeRequest)
+	b.streams.Go(func() { _ = b.server.Shutdown(context.Background()) })
 	_ = b.envelopes.Close()
 }
 
@@ -160,7 +163,9 @@
 	for _, v := range u.Views {
 		v.Prepare()
 	}
-	b.forwarder.adopt(b.table.adopt(u), u.Views)
+	services := b.table.adopt(u)
+	b.forwarder.adopt(services, u.Views)
+	b.adoptRequests(services, true)
 	b.inherited = u.Services
 }
 
