--- a/daemon/internal/role/agent/dump.go
+++ b/daemon/internal/role/agent/dump.go
@@ -6,6 +6,7 @@
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/locator"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/gateway"
 )
 
 // Dump is the state of an agent.
@@ -17,6 +18,8 @@
 	Packets     netip.AddrPort   `json:"packets"`
 	Requests    netip.AddrPort   `json:"requests"`
 	Backend     netip.AddrPort   `json:"backend"`
+	// Requested is what the agent holds of requests in request mode.
+	Requested gateway.AgentState `json:"requested"`
 	// Flows is the number of sockets to the backend server.
 	Flows int `json:"flows"`
 	// View is the newest view adopted, Draining whether the agent asks to leave.
@@ -70,6 +73,7 @@
 		Backend:     a.options.Backend,
 		Flows:       a.flows.count(),
 		Counters:    a.counters(),
+		Requested:   a.requests.State(),
 
 		Draining:       a.draining.Load(),
 		Holdings:       a.owner.holdings(a.options.ID),
--- a/daemon/internal/role/balancer/dump.go
+++ b/daemon/internal/role/balancer/dump.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/gateway"
 )
 
 // Dump is the state of a balancer.
@@ -25,11 +26,13 @@
 	Oversize  uint64 `json:"oversize"`
 	Refused   uint64 `json:"refused"`
 	Failed    uint64 `json:"failed"`
+	// Requests counts the requests of services in request mode.
+	Requests gateway.Counters `json:"requests"`
 }
 
 // Dump returns the balancer's state.
 func (b *Balancer) Dump() any {
-	d := Dump{Envelopes: b.envelopes.Addr(), Counters: b.stats.counters(), Dropped: b.forwarder.Drops().ByName()}
+	d := Dump{Envelopes: b.envelopes.Addr(), Counters: b.counters(), Dropped: b.forwarder.Drops().ByName()}
 	b.mu.Lock()
 	for key := range b.listeners {
 		d.Listeners = append(d.Listeners, key.addr)
@@ -40,7 +43,13 @@
 }
 
 // Counters returns the packet counters.
-func (b *Balancer) Counters() any { return b.stats.counters() }
+func (b *Balancer) Counters() any { return b.counters() }
+
+func (b *Balancer) counters() Counters {
+	c := b.stats.counters()
+	c.Requests = b.gateway.Counters()
+	return c
+}
 
 func (s *Stats) counters() Counters {
 	return Counters{
