--- a/daemon/internal/admin/admin.go
+++ b/daemon/internal/admin/admin.go
@@ -82,8 +82,12 @@
 	Missing []Daemon `json:"missing,omitempty"`
 }
 
+// Known reports whether the process that answered knows the daemons; in a
+// control group the leader alone does.
+func (p *Progress) Known() bool { return p.Daemons > 0 }
+
 // Whole reports whether the revision is in force on every daemon.
-func (p *Progress) Whole() bool { return p.InForce >= p.Daemons }
+func (p *Progress) Whole() bool { return p.Known() && p.InForce >= p.Daemons }
 
 // Member is a backend server as control knows it.
 type Member struct {
--- a/daemon/internal/admin/handler.go
+++ b/daemon/internal/admin/handler.go
@@ -189,9 +189,16 @@
 
 func (h *handler) progress(w http.ResponseWriter, r *http.Request) {
 	revision, ok := number(w, r, "revision")
-	if ok && h.has(w, h.options.Spread != nil) {
-		write(w, http.StatusOK, h.options.Spread.Progress(revision, maxMissing))
+	if !ok || !h.has(w, h.options.Spread != nil) {
+		return
+	}
+	progress := h.options.Spread.Progress(revision, maxMissing)
+	if !progress.Known() {
+		problem(w, http.StatusServiceUnavailable,
+			"process "+strconv.Quote(h.options.Name)+" knows no daemons; the leader of the control group does, see replica list")
+		return
 	}
+	write(w, http.StatusOK, progress)
 }
 
 func (h *handler) dump(w http.ResponseWriter, _ *http.Request) {
--- a/daemon/internal/ctl/config.go
+++ b/daemon/internal/ctl/config.go
@@ -208,6 +208,9 @@
 		}
 		select {
 		case <-ctx.Done():
+			if !last.Known() {
+				return errRefused.New("cannot tell where it is in force: %s", err)
+			}
 			return errRefused.New("in force on %d of %d daemons, not on: %s", last.InForce, last.Daemons, missing(last))
 		case <-time.After(waitInterval):
 		}
--- a/daemon/internal/ctl/ctl_test.go
+++ b/daemon/internal/ctl/ctl_test.go
@@ -42,7 +42,9 @@
 	// lost is the number of answers still to be lost after their command ran.
 	lost    atomic.Int32
 	lagging bool
-	removed string
+	// following is set while another process leads.
+	following bool
+	removed   string
 }
 
 func (c *control) Propose(ctx context.Context, command fleet.Command) (fleet.Result, error) {
@@ -55,6 +57,9 @@
 
 func (c *control) Progress(revision uint64, _ int) admin.Progress {
 	p := admin.Progress{Revision: revision, Daemons: 3, InForce: 3}
+	if c.following {
+		return admin.Progress{Revision: revision}
+	}
 	if c.lagging {
 		p.InForce, p.Missing = 1, []admin.Daemon{{Name: "vm-7"}}
 	}
@@ -225,6 +230,18 @@
 	is.True(strings.Contains(out, "in force on 1 of 3 daemons, not on: vm-7, 1 more"))
 }
 
+func TestWaitDoesNotTrustAProcessThatKnowsNoDaemons(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.control.following = true
+	code, out := b.run("--timeout", "250ms", "apply", "--wait", b.file("one.ini", one))
+	is.Equal(code, exitFailed)
+	is.True(strings.Contains(out, "version 1 is accepted"))
+	is.True(strings.Contains(out, "cannot tell where it is in force"))
+	_, out = b.run("status")
+	is.True(strings.Contains(out, "vm-1 knows no daemons"))
+}
+
 func TestKeysMakeAWorkingCertificate(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
--- a/daemon/internal/ctl/operate.go
+++ b/daemon/internal/ctl/operate.go
@@ -62,7 +62,11 @@
 
 func (a *app) status(s admin.Status) error {
 	a.out("version %d, revision %d, %d services; told by %s", s.Version, s.Revision, s.Services, s.Process)
-	a.out("in force on %d of %d daemons", s.Progress.InForce, s.Progress.Daemons)
+	if s.Progress.Known() {
+		a.out("in force on %d of %d daemons", s.Progress.InForce, s.Progress.Daemons)
+	} else {
+		a.out("%s knows no daemons; the leader of the control group does", s.Process)
+	}
 	for _, d := range s.Progress.Missing {
 		a.out("  not on %s: it has %s in force%s", d.Name, d.InForce, departed(d))
 	}
