--- a/core/flow/stats.go
+++ b/core/flow/stats.go
@@ -35,13 +35,13 @@
 
 // Stats are an agent's counts since its start.
 type Stats struct {
-	Delivered uint64 // packets handed to the backend server
-	Taken     uint64 // flows taken
-	Asked     uint64 // packets relayed to an agent that may own the flow
-	Chased    uint64 // packets relayed along a pointer for another agent
-	Denied    uint64 // packets sent to a home as not owned here
-	Diverted  uint64 // flows placed on another agent for balance
-	Contested uint64 // pointers received for flows that are owned here
+	Delivered uint64   // packets handed to the backend server
+	Taken     uint64   // flows taken
+	Asked     uint64   // packets relayed to an agent that may own the flow
+	Chased    uint64   // packets relayed along a pointer for another agent
+	Denied    uint64   // packets sent to a home as not owned here
+	Diverted  uint64   // flows placed on another agent for balance
+	Contested uint64   // pointers received for flows that are owned here
 	Refused   Refusals `json:"-"`
 }
 
--- a/core/locator/changes_test.go
+++ b/core/locator/changes_test.go
@@ -69,4 +69,3 @@
 	}
 	return n
 }
-
