--- a/daemon/internal/role/agent/agent.go
+++ b/daemon/internal/role/agent/agent.go
@@ -13,8 +13,10 @@
 
 	"go.uber.org/zap"
 
+	"fulmarmount.org/core/attempt"
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/gateway"
 	"fulmarmount.org/daemon/internal/packet"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
@@ -75,6 +77,7 @@
 	envelopes *udp.Conn
 	server    *peer.Server
 	pool      *peer.Pool
+	requests  *gateway.Agent
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 	tunnels   atomic.Int64
@@ -103,15 +106,27 @@
 		left:      make(chan struct{}),
 	}
 	a.flows.init()
+	a.requests = gateway.NewAgent(gateway.AgentOptions{
+		Self:    attempt.Target{Server: o.ID, Incarnation: o.Incarnation},
+		Backend: o.Backend,
+		Slots:   int(o.Slots),
+		Policy:  gateway.DefaultPolicy(),
+		Pool:    a.pool,
+		Now:     o.Now,
+		Log:     o.Log.Named("requests"),
+	})
+	handlers := a.requests.Handlers()
+	handlers[proto.Tunnel] = a.tunnel
 	a.owner = newOwner(o, envelopes.Addr())
 	a.server, err = peer.Listen(peer.ServerOptions{
 		Addr:     o.Requests,
 		TLS:      o.ServerTLS,
 		Log:      o.Log,
-		Handlers: map[string]peer.Handler{proto.Tunnel: a.tunnel},
+		Handlers: handlers,
 	})
 	if err != nil {
 		cancel()
+		a.requests.Close()
 		_ = envelopes.Close()
 		return nil, err
 	}
@@ -155,14 +170,17 @@
 	return a.Close()
 }
 
-// busy reports whether the agent holds flows or tunnels.
-func (a *Agent) busy() bool { return a.tunnels.Load() > 0 || a.flows.count() > 0 }
+// busy reports whether the agent holds flows, tunnels or requests.
+func (a *Agent) busy() bool {
+	return a.tunnels.Load() > 0 || a.flows.count() > 0 || a.requests.Busy()
+}
 
 // Close ends every flow and closes the sockets.
 func (a *Agent) Close() error {
 	a.cancel()
 	err := a.envelopes.Close()
 	a.flows.closeAll()
+	a.requests.Close()
 	_ = a.server.Close()
 	a.pool.Close()
 	a.tasks.Wait()
@@ -181,6 +199,7 @@
 	for _, s := range u.Services {
 		if s.Name == a.options.Service {
 			a.service.Store(uint32(s.ID))
+			a.requests.SetPolicy(gateway.PolicyFor(s))
 			a.limits.setService(s.Settings, a.options.IdleTimeout)
 			a.owner.setService(s.ID, s.Addresses)
 		}
@@ -194,4 +213,7 @@
 			a.options.Log.Info("Adopted a view.", zap.Stringer("version", v.Version), zap.Int("members", len(v.Members)))
 		}
 	}
+	for _, v := range u.Views {
+		a.requests.SetView(v)
+	}
 }
--- a/daemon/internal/role/agent/dump.go
+++ b/daemon/internal/role/agent/dump.go
@@ -6,6 +6,7 @@
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/locator"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/gateway"
 )
 
 // Dump is the state of an agent.
@@ -17,6 +18,8 @@
 	Packets     netip.AddrPort   `json:"packets"`
 	Requests    netip.AddrPort   `json:"requests"`
 	Backend     netip.AddrPort   `json:"backend"`
+	// Requested is what the agent holds of requests in request mode.
+	Requested gateway.AgentState `json:"requested"`
 	// Flows is the number of sockets to the backend server.
 	Flows int `json:"flows"`
 	// View is the newest view adopted, Draining whether the agent asks to leave.
@@ -28,10 +31,12 @@
 	// Unacknowledged is the number of pointers to flows owned here whose
 	// receipt is not known yet.
 	Unacknowledged int `json:"unacknowledged_pointers"`
-	// Decisions count what the flow table decided, Pushes what was pushed.
-	Decisions flow.Stats    `json:"decisions"`
-	Pushes    locator.Stats `json:"pushes"`
-	Counters  Counters      `json:"counters"`
+	// Decisions count what the flow table decided, Dropped the packets it
+	// refused by reason, Pushes what was pushed.
+	Decisions flow.Stats        `json:"decisions"`
+	Dropped   map[string]uint64 `json:"dropped"`
+	Pushes    locator.Stats     `json:"pushes"`
+	Counters  Counters          `json:"counters"`
 }
 
 // Holding is the number of flows of one owner.
@@ -68,11 +73,13 @@
 		Backend:     a.options.Backend,
 		Flows:       a.flows.count(),
 		Counters:    a.counters(),
+		Requested:   a.requests.State(),
 
 		Draining:       a.draining.Load(),
 		Holdings:       a.owner.holdings(a.options.ID),
 		Unacknowledged: a.owner.pusher.Unacknowledged(),
 		Decisions:      a.owner.flows.Stats(),
+		Dropped:        a.owner.flows.Stats().Refused.ByName(),
 		Pushes:         a.owner.pusher.Stats(),
 	}
 	if v := a.owner.flows.View(); v != nil {
--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/gateway"
 	"fulmarmount.org/daemon/internal/handover"
 	"fulmarmount.org/daemon/internal/packet"
 	"fulmarmount.org/daemon/internal/peer"
@@ -27,6 +29,8 @@
 type Options struct {
 	// Name is the VM's name.
 	Name string
+	// Zone is the availability zone.
+	Zone string
 	// Control are the addresses of control processes.
 	Control []netip.AddrPort
 	// Packets is the UDP address for envelopes to and from agents.
@@ -64,6 +68,9 @@
 	opener    *packet.Opener
 	envelopes *udp.Conn
 	pool      *peer.Pool
+	gateway   *gateway.Gateway
+	callers   *connQueue
+	server    *http.Server
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 
@@ -111,6 +118,7 @@
 		cancel:    cancel,
 		listeners: make(map[listenKey]listener),
 	}
+	b.startRequests()
 	b.inherit(o.Inherited)
 	b.run()
 	b.tasks.Go(func() { b.forwarder.run(ctx) })
@@ -141,6 +149,8 @@
 // ctx ends, and closes every socket.
 func (b *Balancer) Stop(ctx context.Context) error {
 	b.closeListeners(proto.ModeStream)
+	b.closeListeners(proto.ModeRequest)
+	_ = b.server.Shutdown(ctx) // what is left is cut off by Close
 	wait(ctx, &b.streams)
 	return b.Close()
 }
@@ -175,7 +185,10 @@
 func (b *Balancer) Close() error {
 	b.cancel()
 	b.closeListeners(proto.ModeStream)
+	b.closeListeners(proto.ModeRequest)
 	b.closeListeners(proto.ModePacket)
+	_ = b.server.Close()
+	b.gateway.Close()
 	err := b.envelopes.Close()
 	b.pool.Close()
 	b.readers.Wait()
@@ -191,7 +204,9 @@
 	b.retire(&u)
 	services := b.table.adopt(u)
 	b.forwarder.adopt(services, u.Views)
-	if len(u.Services) > 0 || len(u.Removed) > 0 {
+	changed := len(u.Services) > 0 || len(u.Removed) > 0
+	b.adoptRequests(services, changed)
+	if changed {
 		b.reconcile(services)
 	}
 }
@@ -239,7 +254,11 @@
 	case *udp.Conn:
 		b.readers.Go(func() { b.readCallers(l) })
 	case *net.TCPListener:
-		b.readers.Go(func() { b.acceptStreams(l) })
+		accept := b.acceptStreams
+		if key.mode == proto.ModeRequest {
+			accept = b.acceptRequests
+		}
+		b.readers.Go(func() { accept(l) })
 	default:
 		b.options.Log.Error("Cannot serve an address.", zap.Stringer("address", key.addr))
 	}
@@ -254,10 +273,10 @@
 }
 
 func (b *Balancer) listen(key listenKey) (listener, error) {
-	if key.mode == proto.ModeStream {
-		return b.listenStream(key.addr)
+	if key.mode == proto.ModePacket {
+		return b.listenPacket(key.addr)
 	}
-	return b.listenPacket(key.addr)
+	return b.listenTCP(key.addr)
 }
 
 // target is the agent that a flow goes to.
--- a/daemon/internal/role/balancer/streams.go
+++ b/daemon/internal/role/balancer/streams.go
@@ -18,9 +18,9 @@
 // tunnelLimit bounds the opening of a tunnel to a backend server.
 const tunnelLimit = 3 * time.Second
 
-// listenStream opens the listener for TCP connections on one service address.
+// listenTCP opens the listener for TCP connections on one service address.
 // A connection lives on this balancer: it ends with it.
-func (b *Balancer) listenStream(addr netip.AddrPort) (*net.TCPListener, error) {
+func (b *Balancer) listenTCP(addr netip.AddrPort) (*net.TCPListener, error) {
 	config := &net.ListenConfig{}
 	if b.options.Spray > 0 {
 		config = udp.ReusePort()
