--- a/core/lease/publish.go
+++ b/core/lease/publish.go
@@ -140,9 +140,18 @@
 	case excluded:
 		return m.phase, 0
 	case m.phase == view.Warming && r.othersReady(s, m):
-		return view.Warming, r.warmWeight(now - m.since)
+		return view.Warming, r.scaled(m, r.warmWeight(now-m.since))
 	}
-	return m.phase, view.FullWeight
+	return m.phase, r.scaled(m, view.FullWeight)
+}
+
+// scaled applies the weight that operators gave a member.
+func (r *Registry) scaled(m *member, weight uint32) uint32 {
+	if r.weigh == nil {
+		return weight
+	}
+	given := uint64(r.weigh(&m.announcement))
+	return uint32(uint64(weight) * given / view.FullWeight)
 }
 
 // othersReady reports whether the service has members at full weight, beside
--- /dev/null
+++ b/daemon/internal/role/control/configuration.go
@@ -0,0 +1,175 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarmount.org/core/fleet"
+	"fulmarmount.org/core/lease"
+	"fulmarmount.org/core/spread"
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/daemon/internal/subscribe"
+)
+
+// Fleet is the replicated state of the fleet.
+type Fleet interface {
+	// Read calls read with a state that holds every acknowledged command.
+	Read(ctx context.Context, read func(*fleet.Machine)) error
+	// Peek calls read with the state as this process has it.
+	Peek(read func(*fleet.Machine))
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// followDelay bounds the pause before the state is asked for again.
+const followDelay = time.Second
+
+// configuration is what operators have put in force.
+type configuration struct {
+	revision uint64
+	document *fleet.Document
+	drains   []fleet.Drain
+	// expired is the number of exceptions that had ended when the weights
+	// were last set.
+	expired int
+}
+
+// defaults returns the fleet-wide settings.
+func (c *configuration) defaults() fleet.Settings {
+	if c.document == nil {
+		return fleet.DefaultSettings()
+	}
+	return c.document.Defaults
+}
+
+// registryOptions returns what the settings mean for membership.
+func registryOptions(s fleet.Settings) lease.Options {
+	return lease.Options{
+		Lease:      s.Lease,
+		WarmFor:    s.Warming,
+		MaxEjected: float64(s.MaxEjected) / 100,
+	}
+}
+
+// follow adopts the replicated state. The first state is one that holds every
+// acknowledged command: a process that starts behind must not publish what
+// was replaced long ago.
+func (c *Control) follow(ctx context.Context) {
+	for c.options.Fleet.Read(ctx, c.adopt) != nil {
+		c.options.Log.Warn("Waits for the replicas.")
+		if !subscribe.Sleep(ctx, subscribe.Jitter(followDelay)) {
+			return
+		}
+	}
+	close(c.current)
+	for {
+		changed := c.options.Fleet.Changed()
+		c.options.Fleet.Peek(c.adopt)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// adopt publishes the state of m unless it is in force already.
+func (c *Control) adopt(m *fleet.Machine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.configuration.document != nil && m.Revision() <= c.configuration.revision {
+		return
+	}
+	c.configuration = configuration{revision: m.Revision(), document: m.Document(), drains: m.Drains()}
+	now := c.options.Now()
+	var services []proto.Service
+	for i := range c.configuration.document.Services {
+		services = append(services, c.service(&c.configuration.document.Services[i], now))
+	}
+	c.replaceServices(services)
+	c.registry.SetOptions(registryOptions(c.configuration.document.Defaults))
+	c.setWeights(now)
+	var drained []string
+	for _, d := range c.configuration.drains {
+		drained = append(drained, d.BackendServer)
+	}
+	c.registry.SetDrained(drained)
+	c.pending = &pending{revision: m.Revision(), due: now.Add(settleTime)}
+	c.options.Log.Info("Adopted a configuration.",
+		zap.Uint64("version", m.Version()), zap.Uint64("revision", m.Revision()), zap.Int("services", len(services)))
+}
+
+// service returns what daemons are told of a service.
+func (c *Control) service(s *fleet.Service, now time.Time) proto.Service {
+	return proto.Service{
+		ID: s.ID, Name: s.Name, Mode: proto.Mode(s.Mode), Addresses: s.Addresses,
+		Share: s.Share, Classes: s.Classes, Repeatable: s.Repeatable,
+		Settings: c.configuration.document.Effective(fleet.Target{Service: s.Name}, now),
+	}
+}
+
+// setWeights gives every backend server the weight in force for it. The caller
+// holds the lock.
+func (c *Control) setWeights(now time.Time) {
+	document := c.configuration.document
+	c.configuration.expired = len(document.Expired(now))
+	c.registry.SetWeights(func(a *view.Announcement) uint32 {
+		return document.Effective(fleet.Target{Service: a.Service, Zone: a.Zone, BackendServer: a.ID}, now).Weight
+	})
+}
+
+// expireExceptions takes exceptions that have ended out of force. The caller
+// holds the lock.
+func (c *Control) expireExceptions(now time.Time) {
+	document := c.configuration.document
+	if document == nil || len(document.Expired(now)) == c.configuration.expired {
+		return
+	}
+	c.setWeights(now)
+	var services []proto.Service
+	for i := range document.Services {
+		services = append(services, c.service(&document.Services[i], now))
+	}
+	c.replaceServices(services)
+}
+
+// SetServices replaces the services, for a process without replicated state.
+func (c *Control) SetServices(services []proto.Service) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replaceServices(services)
+	select {
+	case <-c.current:
+	default:
+		close(c.current)
+	}
+}
+
+// replaceServices publishes what differs from the services before. The caller
+// holds the lock.
+func (c *Control) replaceServices(services []proto.Service) {
+	old := c.services
+	c.services = make(map[string]proto.Service, len(services))
+	c.names = make(map[view.ServiceID]string, len(services))
+	for _, s := range services {
+		c.services[s.Name], c.names[s.ID] = s, s.Name
+	}
+	for name, s := range old {
+		next, kept := c.services[name]
+		if !kept {
+			c.check(c.publisher.Delete(proto.ServiceKey(name)))
+		}
+		if !kept || next.ID != s.ID {
+			c.registry.RemoveService(s.ID)
+			c.check(c.publisher.Delete(proto.ViewKey(name)))
+		}
+	}
+	for _, s := range services {
+		if before, ok := old[s.Name]; !ok || !before.Equal(&s) {
+			c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ServiceItem(s, at) }))
+		}
+	}
+}
--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -6,12 +6,13 @@
 	"context"
 	"crypto/tls"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"fulmarmount.org/core/fleet"
+	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/keys"
@@ -28,16 +29,19 @@
 	TLS *tls.Config
 	// Epoch is the epoch of the views this process publishes.
 	Epoch uint64
+	// Fleet is the replicated state, nil where SetServices is used instead.
+	Fleet Fleet
 	// Now is the clock.
 	Now func() time.Time
 	Log *zap.Logger
 }
 
 const (
-	// lease is how long an announcement holds.
-	lease = 3 * time.Second
-	// sweepInterval is how often expired leases are looked for.
-	sweepInterval = 500 * time.Millisecond
+	// tickInterval is how often the registry is looked at: for ended leases,
+	// rising weights and views to publish.
+	tickInterval = 100 * time.Millisecond
+	// maxLoads is the number of loads in the answer to one announcement.
+	maxLoads = 64
 )
 
 // Control is one running control process.
@@ -48,16 +52,17 @@
 
 	publisher *subscribe.Publisher
 
-	mu       sync.Mutex
-	services []proto.Service
-	members  map[string]member
-	views    map[view.ServiceID]*view.View
-}
+	// current is closed once the configuration is known to be current.
+	current chan struct{}
+	started time.Time
 
-// member is an announced backend server.
-type member struct {
-	announcement view.Announcement
-	expires      time.Time
+	mu            sync.Mutex
+	configuration configuration
+	services      map[string]proto.Service
+	names         map[view.ServiceID]string
+	registry      *lease.Registry
+	pending       *pending
+	published     []publication
 }
 
 // Start opens the socket and serves daemons until Close.
@@ -71,16 +76,18 @@
 		options:   o,
 		cancel:    cancel,
 		publisher: publisher,
-		members:   make(map[string]member),
-		views:     make(map[view.ServiceID]*view.View),
+		current:   make(chan struct{}),
+		registry:  lease.NewRegistry(registryOptions(fleet.DefaultSettings())),
+		started:   o.Now(),
 	}
+	c.registry.Lead(0, o.Epoch, nil)
 	server, err := peer.Listen(peer.ServerOptions{
 		Addr: o.Listen,
 		TLS:  o.TLS,
 		Log:  o.Log,
 		Handlers: map[string]peer.Handler{
 			proto.Announce:  c.announce,
-			proto.Subscribe: publisher.Handle,
+			proto.Subscribe: c.subscribe,
 		},
 	})
 	if err != nil {
@@ -89,7 +96,10 @@
 	}
 	c.server = server
 	go publisher.Run(ctx)
-	go c.sweep(ctx)
+	go c.run(ctx)
+	if o.Fleet != nil {
+		go c.follow(ctx)
+	}
 	return c, nil
 }
 
@@ -105,29 +115,6 @@
 // Stop stops serving. Daemons go on with what they have.
 func (c *Control) Stop(context.Context) error { return c.Close() }
 
-// SetServices replaces the services.
-func (c *Control) SetServices(services []proto.Service) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range c.services {
-		if !slices.ContainsFunc(services, func(n proto.Service) bool { return n.Name == s.Name }) {
-			c.remove(s)
-		}
-	}
-	c.services = services
-	for _, s := range services {
-		c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ServiceItem(s, at) }))
-		c.publish(s)
-	}
-}
-
-// remove deletes a service and its view. The caller holds the lock.
-func (c *Control) remove(s proto.Service) {
-	delete(c.views, s.ID)
-	c.check(c.publisher.Delete(proto.ServiceKey(s.Name)))
-	c.check(c.publisher.Delete(proto.ViewKey(s.Name)))
-}
-
 // check logs what could not be published.
 func (c *Control) check(err error) {
 	if err != nil {
@@ -155,98 +142,51 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	service, ok := c.service(a.Service)
+	service, ok := c.services[a.Service]
+	leaseTime := c.configuration.defaults().Lease
 	if !ok {
-		return proto.AnnounceReply{Reason: "no such service", Lease: lease}
-	}
-	known, exists := c.members[a.ID]
-	if exists && older(a, known.announcement) {
-		return proto.AnnounceReply{Reason: "a newer announcement is known", Lease: lease}
-	}
-	c.members[a.ID] = member{announcement: a, expires: c.options.Now().Add(lease)}
-	if !exists || !sameMember(known.announcement, a) {
-		c.options.Log.Info("Took an announcement.", zap.String("id", a.ID), zap.String("service", a.Service))
-		c.publish(service)
-	}
-	return proto.AnnounceReply{Accepted: true, Lease: lease}
-}
-
-// older reports whether a is a replay or of an earlier run than known.
-func older(a, known view.Announcement) bool {
-	if a.Incarnation != known.Incarnation {
-		return a.Incarnation < known.Incarnation
-	}
-	return a.Sequence <= known.Sequence
-}
-
-// sameMember reports whether both announcements lead to the same view.
-func sameMember(a, b view.Announcement) bool {
-	return a.Service == b.Service && a.Incarnation == b.Incarnation &&
-		a.Packets == b.Packets && a.Requests == b.Requests &&
-		a.Draining == b.Draining && a.Healthy == b.Healthy && a.Slots == b.Slots
-}
-
-func (c *Control) service(name string) (proto.Service, bool) {
-	for _, s := range c.services {
-		if s.Name == name {
-			return s, true
-		}
+		return proto.AnnounceReply{Reason: "no such service", Lease: leaseTime}
 	}
-	return proto.Service{}, false
-}
-
-// publish numbers a new view of a service. The caller holds the lock.
-func (c *Control) publish(s proto.Service) {
-	var members []view.BackendServer
-	for _, m := range c.members {
-		if m.announcement.Service == s.Name {
-			members = append(members, backendServer(m.announcement))
-		}
+	now := c.elapsed()
+	if err := c.registry.Announce(now, service.ID, a); err != nil {
+		return proto.AnnounceReply{Reason: err.Error(), Lease: leaseTime}
 	}
-	c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) {
-		v := view.New(s.ID, at, members)
-		c.views[s.ID] = v
-		return proto.ViewItem(s.Name, v)
-	}))
+	return proto.AnnounceReply{Accepted: true, Lease: leaseTime, Loads: c.registry.Loads(now, service.ID, a.ID, maxLoads)}
 }
 
-func backendServer(a view.Announcement) view.BackendServer {
-	b := view.BackendServer{
-		ID: a.ID, Zone: a.Zone, Incarnation: a.Incarnation,
-		Packets: a.Packets, Requests: a.Requests, Slots: a.Slots,
-		State: view.Ready, Weight: view.FullWeight,
-	}
-	if a.Draining || !a.Healthy {
-		b.State, b.Weight = view.Draining, 0
-	}
-	return b
-}
+func (c *Control) elapsed() time.Duration { return c.options.Now().Sub(c.started) }
 
-// sweep removes members whose lease has ended.
-func (c *Control) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
+// run publishes the registry's views until ctx ends.
+func (c *Control) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			c.expire(c.options.Now())
+			c.tick()
 		}
 	}
 }
 
-func (c *Control) expire(now time.Time) {
+func (c *Control) tick() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, m := range c.members {
-		if now.Before(m.expires) {
-			continue
-		}
-		delete(c.members, id)
-		c.options.Log.Warn("A lease ended.", zap.String("id", id))
-		if s, ok := c.service(m.announcement.Service); ok {
-			c.publish(s)
-		}
+	c.expireExceptions(c.options.Now())
+	for _, v := range c.registry.Tick(c.elapsed()) {
+		c.publish(v)
+	}
+	c.notePending(c.options.Now())
+}
+
+// publish hands a view to the subscribers. The caller holds the lock.
+func (c *Control) publish(v *view.View) {
+	name, ok := c.names[v.Service]
+	if !ok {
+		return
 	}
+	c.options.Log.Info("Published a view.", zap.String("service", name),
+		zap.Stringer("version", v.Version), zap.Int("members", len(v.Members)))
+	c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ViewItem(name, at, v) }))
 }
