control: one leader publishes, others pass daemons on to it

Each control process published on its own, with an epoch from its clock: two of them would have taken daemons back and forth. A process with a data folder now runs a replica of the control group. The leader holds a term: publisher and leased membership with the Raft term as epoch. It starts from a state that holds every acknowledged command, collects announcements for a lease before it publishes views, and tells daemons that its state is current only after a majority has confirmed the leader. The other members pass streams of daemons on to the leader and end them when it changes. A stopping process hands leadership over first.

Peer connections are closed however their accept loop ends; a handler could read for ever after the server's end, and the stop of a process hang with it.

--- a/daemon/internal/node/node.go
+++ b/daemon/internal/node/node.go
@@ -13,7 +13,9 @@
 	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/daemon/internal/admin"
 	"fulmarmount.org/daemon/internal/fleetstore"
+	"fulmarmount.org/daemon/internal/group"
 	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/settings"
 )
 
@@ -30,6 +32,9 @@
 	// Store is the replicated state that the control role publishes; nil in
 	// processes without that role.
 	Store *fleetstore.Store
+	// Group is the control group that the process is a member of; nil where
+	// its state is in memory.
+	Group *group.Group
 	// Initial is put in force by a control role that starts without state;
 	// nil for none.
 	Initial *fleet.Document
@@ -38,6 +43,8 @@
 	// Now is the clock.
 	Now func() time.Time
 	Log *zap.Logger
+
+	pool *peer.Pool // to other control processes
 }
 
 // Load reads the keys that the settings name, or makes keys for this process
@@ -79,10 +86,12 @@
 
 // registerRoles starts the roles in an order in which each finds what it
 // connects to, and stops them in the opposite one.
-func registerRoles(lc fx.Lifecycle, o Options, d *Dumper) {
+func registerRoles(lc fx.Lifecycle, o Options, d *Dumper) error {
 	var spread admin.Spread
 	if o.Settings.Has(settings.RoleControl) {
-		o.Store = newStore()
+		if err := openState(&o); err != nil {
+			return err
+		}
 		register(lc, d, settings.RoleControl, func() (role, error) {
 			c, err := startControl(o)
 			if err == nil {
@@ -100,6 +109,7 @@
 		register(lc, d, settings.RoleBalancer, func() (role, error) { return startBalancer(o) })
 	}
 	registerAdmin(lc, o, d, &spread)
+	return nil
 }
 
 // role is a running role.
--- a/daemon/internal/node/operators.go
+++ b/daemon/internal/node/operators.go
@@ -9,6 +9,10 @@
 	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/daemon/internal/admin"
 	"fulmarmount.org/daemon/internal/fleetstore"
+	"fulmarmount.org/daemon/internal/group"
+	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/daemon/internal/role/control"
 )
 
 var (
@@ -18,10 +22,60 @@
 	errInitial = namespace.NewType("initial")
 )
 
-// newStore returns the state of a process that is its own whole control group.
-func newStore() *fleetstore.Store {
+// openState opens the replicated state of a control process: a replica in the
+// data folder, or without one a state in memory that ends with the process.
+func openState(o *Options) error {
 	machine := fleetstore.NewMachine()
-	return fleetstore.NewStore(fleetstore.NewLocal(machine), machine)
+	if o.Settings.DataDir == "" {
+		o.Store = fleetstore.NewStore(fleetstore.NewLocal(machine), machine)
+		return nil
+	}
+	var peers []group.Peer
+	for _, p := range o.Settings.Control.Peers {
+		peers = append(peers, group.Peer{Name: p.Name, Addr: p.Addr})
+	}
+	o.pool = peer.NewPool(o.clientTLS(keys.Control))
+	var err error
+	o.Group, err = group.Open(group.Options{
+		Name:    o.Settings.Name,
+		Addr:    o.Settings.Control.Listen,
+		Cluster: o.Settings.Control.Cluster,
+		Peers:   peers,
+		Folder:  group.Folder(o.Settings.DataDir),
+		Machine: machine,
+		Pool:    o.pool,
+		Now:     o.Now,
+		Log:     o.Log.Named("replica"),
+	})
+	if err != nil {
+		return err
+	}
+	o.Store = fleetstore.NewStore(o.Group, machine)
+	return nil
+}
+
+// replicatedControl is the control role of a member of a control group.
+type replicatedControl struct {
+	*control.Control
+	options Options
+}
+
+// replicatedDump is the state of the role and of its replica.
+type replicatedDump struct {
+	Control any        `json:"control"`
+	Replica group.Dump `json:"replica"`
+}
+
+// Dump implements dumpable.
+func (c replicatedControl) Dump() any {
+	return replicatedDump{Control: c.Control.Dump(), Replica: c.options.Group.Dump()}
+}
+
+// Stop hands leadership on before it stops serving the other replicas.
+func (c replicatedControl) Stop(ctx context.Context) error {
+	err := c.options.Group.Stop(ctx)
+	defer c.options.pool.Close()
+	return errorx.DecorateMany("control does not stop", err, c.Control.Stop(ctx))
 }
 
 // putInForce applies the initial configuration to a state without versions.
@@ -70,5 +124,8 @@
 	if o.Store != nil {
 		options.Store = o.Store
 	}
+	if o.Group != nil {
+		options.Replicas = o.Group
+	}
 	return options
 }
--- a/daemon/internal/node/roles.go
+++ b/daemon/internal/node/roles.go
@@ -61,7 +61,15 @@
 			return nil, err
 		}
 	}
-	return control.Start(options)
+	if o.Group == nil {
+		return control.Start(options)
+	}
+	options.Group, options.Pool = o.Group, o.pool
+	c, err := control.Start(options)
+	if err != nil {
+		return nil, err
+	}
+	return replicatedControl{Control: c, options: o}, nil
 }
 
 func startBalancer(o Options) (role, error) {
--- a/daemon/internal/peer/server.go
+++ b/daemon/internal/peer/server.go
@@ -77,8 +77,9 @@
 
 // serve accepts the streams of one connection until it ends.
 func (s *Server) serve(ctx context.Context, conn *quic.Conn) {
-	stop := context.AfterFunc(ctx, func() { _ = conn.CloseWithError(closedCode, "server stops") })
-	defer stop()
+	// Handlers read until their connection is closed, so that must happen
+	// however the loop ends.
+	defer func() { _ = conn.CloseWithError(closedCode, "server stops") }()
 	from, err := keys.Peer(conn.ConnectionState().TLS)
 	if err != nil {
 		s.options.Log.Warn("Refused a connection.", zap.Error(err))
--- a/daemon/internal/role/control/configuration.go
+++ b/daemon/internal/role/control/configuration.go
@@ -57,7 +57,7 @@
 // follow adopts the replicated state. The first state is one that holds every
 // acknowledged command: a process that starts behind must not publish what
 // was replaced long ago.
-func (c *Control) follow(ctx context.Context) {
+func (c *term) follow(ctx context.Context) {
 	for c.options.Fleet.Read(ctx, c.adopt) != nil {
 		c.options.Log.Warn("Waits for the replicas.")
 		if !subscribe.Sleep(ctx, subscribe.Jitter(followDelay)) {
@@ -77,7 +77,7 @@
 }
 
 // adopt publishes the state of m unless it is in force already.
-func (c *Control) adopt(m *fleet.Machine) {
+func (c *term) adopt(m *fleet.Machine) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.configuration.document != nil && m.Revision() <= c.configuration.revision {
@@ -103,7 +103,7 @@
 }
 
 // service returns what daemons are told of a service.
-func (c *Control) service(s *fleet.Service, now time.Time) proto.Service {
+func (c *term) service(s *fleet.Service, now time.Time) proto.Service {
 	return proto.Service{
 		ID: s.ID, Name: s.Name, Mode: proto.Mode(s.Mode), Addresses: s.Addresses,
 		Share: s.Share, Classes: s.Classes, Repeatable: s.Repeatable,
@@ -113,7 +113,7 @@
 
 // setWeights gives every backend server the weight in force for it. The caller
 // holds the lock.
-func (c *Control) setWeights(now time.Time) {
+func (c *term) setWeights(now time.Time) {
 	document := c.configuration.document
 	c.configuration.expired = len(document.Expired(now))
 	c.registry.SetWeights(func(a *view.Announcement) uint32 {
@@ -123,7 +123,7 @@
 
 // expireExceptions takes exceptions that have ended out of force. The caller
 // holds the lock.
-func (c *Control) expireExceptions(now time.Time) {
+func (c *term) expireExceptions(now time.Time) {
 	document := c.configuration.document
 	if document == nil || len(document.Expired(now)) == c.configuration.expired {
 		return
@@ -138,6 +138,12 @@
 
 // SetServices replaces the services, for a process without replicated state.
 func (c *Control) SetServices(services []proto.Service) {
+	if t := c.current(); t != nil {
+		t.setServices(services)
+	}
+}
+
+func (c *term) setServices(services []proto.Service) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replaceServices(services)
@@ -150,7 +156,7 @@
 
 // replaceServices publishes what differs from the services before. The caller
 // holds the lock.
-func (c *Control) replaceServices(services []proto.Service) {
+func (c *term) replaceServices(services []proto.Service) {
 	old := c.services
 	c.services = make(map[string]proto.Service, len(services))
 	c.names = make(map[view.ServiceID]string, len(services))
--- a/daemon/internal/role/control/control.go
+++ b/daemon/internal/role/control/control.go
@@ -1,34 +1,58 @@
 // Package control runs the control role: it takes announcements of agents,
 // publishes numbered views and hands configuration and views to the daemons.
+// The leader of the control group does so; other members pass the daemons'
+// streams on to it.
 package control
 
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
-	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/core/lease"
-	"fulmarmount.org/core/spread"
-	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/group"
 	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/subscribe"
 )
 
+var (
+	// Errors is the namespace of this package's error types.
+	Errors = errorx.NewNamespace("control")
+
+	// NotLeading says that another process leads the control group.
+	NotLeading = Errors.NewType("not_leading", errorx.Temporary())
+)
+
+// Group is the control group that a process belongs to.
+type Group interface {
+	// Leadership returns who leads, and a channel that is closed when that
+	// changes.
+	Leadership() (group.Leadership, <-chan struct{})
+	// Barrier returns once a majority has confirmed the leader, and the local
+	// state holds every acknowledged command.
+	Barrier(ctx context.Context) error
+	// Handlers serve the other replicas.
+	Handlers() map[string]peer.Handler
+}
+
 // Options configure a Control.
 type Options struct {
 	// Listen is the UDP address for peer connections.
 	Listen netip.AddrPort
 	// TLS checks the certificates of the daemons.
 	TLS *tls.Config
-	// Epoch is the epoch of the views this process publishes.
+	// Epoch is the epoch of the views that a process without a group publishes.
 	Epoch uint64
+	// Group is the control group; nil for a process that leads alone.
+	Group Group
+	// Pool connects to the leader of the group.
+	Pool *peer.Pool
 	// Fleet is the replicated state, nil where SetServices is used instead.
 	Fleet Fleet
 	// Now is the clock.
@@ -36,69 +60,48 @@
 	Log *zap.Logger
 }
 
-const (
-	// tickInterval is how often the registry is looked at: for ended leases,
-	// rising weights and views to publish.
-	tickInterval = 100 * time.Millisecond
-	// maxLoads is the number of loads in the answer to one announcement.
-	maxLoads = 64
-)
-
 // Control is one running control process.
 type Control struct {
 	options Options
 	server  *peer.Server
+	ctx     context.Context
 	cancel  context.CancelFunc
 
-	publisher *subscribe.Publisher
-
-	// current is closed once the configuration is known to be current.
-	current chan struct{}
-	started time.Time
-
-	mu            sync.Mutex
-	configuration configuration
-	services      map[string]proto.Service
-	names         map[view.ServiceID]string
-	registry      *lease.Registry
-	pending       *pending
-	published     []publication
+	mu     sync.Mutex
+	term   *term // nil while another process leads
+	leader netip.AddrPort
+	// passing ends with the leader that streams are passed on to.
+	passing     context.Context
+	stopPassing context.CancelFunc
 }
 
 // Start opens the socket and serves daemons until Close.
 func Start(o Options) (*Control, error) {
-	publisher, err := subscribe.NewPublisher(subscribe.PublisherOptions{Epoch: o.Epoch, Now: o.Now})
-	if err != nil {
-		return nil, err
+	c := &Control{options: o}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.passing, c.stopPassing = context.WithCancel(c.ctx)
+	handlers := map[string]peer.Handler{
+		proto.Announce:  c.announce,
+		proto.Subscribe: c.subscribe,
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	c := &Control{
-		options:   o,
-		cancel:    cancel,
-		publisher: publisher,
-		current:   make(chan struct{}),
-		registry:  lease.NewRegistry(registryOptions(fleet.DefaultSettings())),
-		started:   o.Now(),
+	if o.Group == nil {
+		t, err := startTerm(c.ctx, o, o.Epoch)
+		if err != nil {
+			c.cancel()
+			return nil, err
+		}
+		c.term = t
+	} else {
+		maps.Copy(handlers, o.Group.Handlers())
 	}
-	c.registry.Lead(0, o.Epoch, nil)
-	server, err := peer.Listen(peer.ServerOptions{
-		Addr: o.Listen,
-		TLS:  o.TLS,
-		Log:  o.Log,
-		Handlers: map[string]peer.Handler{
-			proto.Announce:  c.announce,
-			proto.Subscribe: c.subscribe,
-		},
-	})
+	server, err := peer.Listen(peer.ServerOptions{Addr: o.Listen, TLS: o.TLS, Log: o.Log, Handlers: handlers})
 	if err != nil {
-		cancel()
+		c.cancel()
 		return nil, err
 	}
 	c.server = server
-	go publisher.Run(ctx)
-	go c.run(ctx)
-	if o.Fleet != nil {
-		go c.follow(ctx)
+	if o.Group != nil {
+		go c.followGroup()
 	}
 	return c, nil
 }
@@ -115,78 +118,21 @@
 // Stop stops serving. Daemons go on with what they have.
 func (c *Control) Stop(context.Context) error { return c.Close() }
 
-// check logs what could not be published.
-func (c *Control) check(err error) {
-	if err != nil {
-		c.options.Log.Error("Cannot publish.", zap.Error(err))
-	}
-}
-
-// announce serves one agent's announcements.
-func (c *Control) announce(_ context.Context, from keys.Info, s *peer.Stream) {
-	for {
-		var a view.Announcement
-		if err := s.Recv(&a); err != nil {
-			return
-		}
-		if err := s.Send(c.renew(from, a)); err != nil {
-			return
-		}
-	}
-}
-
-// renew takes one announcement.
-func (c *Control) renew(from keys.Info, a view.Announcement) proto.AnnounceReply {
-	if !from.Allows(keys.Agent) {
-		return proto.AnnounceReply{Reason: "the certificate does not allow the agent role"}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	service, ok := c.services[a.Service]
-	leaseTime := c.configuration.defaults().Lease
-	if !ok {
-		return proto.AnnounceReply{Reason: "no such service", Lease: leaseTime}
-	}
-	now := c.elapsed()
-	if err := c.registry.Announce(now, service.ID, a); err != nil {
-		return proto.AnnounceReply{Reason: err.Error(), Lease: leaseTime}
+func (c *Control) announce(ctx context.Context, from keys.Info, s *peer.Stream) {
+	if !from.Allows(keys.Agent, keys.Control) {
+		s.Abort()
+		return
 	}
-	return proto.AnnounceReply{Accepted: true, Lease: leaseTime, Loads: c.registry.Loads(now, service.ID, a.ID, maxLoads)}
+	c.serve(from, s, proto.Announce, func(t *term) { t.announce(ctx, from, s) })
 }
 
-func (c *Control) elapsed() time.Duration { return c.options.Now().Sub(c.started) }
-
-// run publishes the registry's views until ctx ends.
-func (c *Control) run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.tick()
-		}
-	}
+func (c *Control) subscribe(ctx context.Context, from keys.Info, s *peer.Stream) {
+	c.serve(from, s, proto.Subscribe, func(t *term) { t.subscribe(ctx, from, s) })
 }
 
-func (c *Control) tick() {
+// current returns the term while this process leads, or nil.
+func (c *Control) current() *term {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.expireExceptions(c.options.Now())
-	for _, v := range c.registry.Tick(c.elapsed()) {
-		c.publish(v)
-	}
-	c.notePending(c.options.Now())
-}
-
-// publish hands a view to the subscribers. The caller holds the lock.
-func (c *Control) publish(v *view.View) {
-	name, ok := c.names[v.Service]
-	if !ok {
-		return
-	}
-	c.options.Log.Info("Published a view.", zap.String("service", name),
-		zap.Stringer("version", v.Version), zap.Int("members", len(v.Members)))
-	c.check(c.publisher.Publish(func(at view.Version) (spread.Item, error) { return proto.ViewItem(name, at, v) }))
+	return c.term
 }
--- a/daemon/internal/role/control/daemons.go
+++ b/daemon/internal/role/control/daemons.go
@@ -34,7 +34,7 @@
 
 // notePending remembers the position of a configuration once its views are
 // published. The caller holds the lock.
-func (c *Control) notePending(now time.Time) {
+func (c *term) notePending(now time.Time) {
 	if c.pending == nil || now.Before(c.pending.due) {
 		return
 	}
@@ -48,7 +48,7 @@
 
 // positionOf returns a position at which revision is in force, which may be a
 // later one. It is false where revision is not published here yet.
-func (c *Control) positionOf(revision uint64) (spread.Position, bool) {
+func (c *term) positionOf(revision uint64) (spread.Position, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	i, _ := slices.BinarySearchFunc(c.published, revision, func(p publication, revision uint64) int {
@@ -61,7 +61,7 @@
 }
 
 // subscribe serves a daemon once the configuration is known to be current.
-func (c *Control) subscribe(ctx context.Context, from keys.Info, s *peer.Stream) {
+func (c *term) subscribe(ctx context.Context, from keys.Info, s *peer.Stream) {
 	select {
 	case <-ctx.Done():
 	case <-c.current:
@@ -69,8 +69,23 @@
 	}
 }
 
-// Progress implements admin.Spread.
+// Progress implements admin.Spread. Only the leader knows.
 func (c *Control) Progress(revision uint64, limit int) admin.Progress {
+	if t := c.current(); t != nil {
+		return t.progress(revision, limit)
+	}
+	return admin.Progress{Revision: revision}
+}
+
+// Members implements admin.Spread. Only the leader knows.
+func (c *Control) Members() []admin.Member {
+	if t := c.current(); t != nil {
+		return t.members()
+	}
+	return nil
+}
+
+func (c *term) progress(revision uint64, limit int) admin.Progress {
 	position, published := c.positionOf(revision)
 	spread := c.publisher.Progress(position)
 	progress := admin.Progress{Revision: revision, Daemons: spread.Total}
@@ -84,8 +99,7 @@
 	return progress
 }
 
-// Members implements admin.Spread.
-func (c *Control) Members() []admin.Member {
+func (c *term) members() []admin.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var members []admin.Member
--- a/daemon/internal/role/control/dump.go
+++ b/daemon/internal/role/control/dump.go
@@ -10,7 +10,8 @@
 	"fulmarmount.org/daemon/internal/proto"
 )
 
-// Dump is the state of a control process.
+// Dump is the state of a control process; most of it is known to the leader
+// alone.
 type Dump struct {
 	Listen   netip.AddrPort  `json:"listen"`
 	Version  view.Version    `json:"version"`
@@ -23,15 +24,22 @@
 
 // Dump returns the state of the process.
 func (c *Control) Dump() any {
+	d := Dump{Listen: c.server.Addr()}
+	if t := c.current(); t != nil {
+		t.dump(&d)
+	}
+	return d
+}
+
+func (c *term) dump(d *Dump) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := Dump{Listen: c.server.Addr(), Version: c.publisher.Position(), Revision: c.configuration.revision}
+	d.Version, d.Revision = c.publisher.Position(), c.configuration.revision
 	for _, name := range slices.Sorted(maps.Keys(c.services)) {
 		s := c.services[name]
 		d.Services = append(d.Services, s)
 		d.BackendServers = append(d.BackendServers, c.registry.Status(c.elapsed(), s.ID)...)
 	}
-	return d
 }
 
 // Counters count the leases and views of a control process.
@@ -45,8 +53,15 @@
 	Views         uint64 `json:"views"`
 }
 
-// Counters returns the counts since the start of the process.
+// Counters returns the counts since the process came to lead.
 func (c *Control) Counters() any {
+	if t := c.current(); t != nil {
+		return t.counters()
+	}
+	return Counters{}
+}
+
+func (c *term) counters() Counters {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.registry.Stats()
--- /dev/null
+++ b/daemon/internal/role/control/lead.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"context"
+	"io"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"fulmarmount.org/daemon/internal/group"
+	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/peer"
+)
+
+// followGroup starts a term when this process comes to lead, and ends it when
+// another one does.
+func (c *Control) followGroup() {
+	for {
+		l, changed := c.options.Group.Leadership()
+		c.setLeadership(l)
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (c *Control) setLeadership(l group.Leadership) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term != nil && l.Leading && c.term.epoch == l.Term {
+		return
+	}
+	if c.term != nil {
+		c.options.Log.Info("Leads no longer.", zap.Uint64("term", c.term.epoch))
+		c.term.cancel()
+		c.term = nil
+	}
+	if !l.Leading {
+		c.setLeader(l.Leader)
+		return
+	}
+	c.setLeader(netip.AddrPort{})
+	t, err := startTerm(c.ctx, c.options, l.Term)
+	if err != nil {
+		c.options.Log.Error("Cannot publish.", zap.Error(err))
+		return
+	}
+	c.options.Log.Info("Leads.", zap.Uint64("term", l.Term))
+	c.term = t
+}
+
+// setLeader ends the streams that are passed on to another leader. The caller
+// holds the lock.
+func (c *Control) setLeader(leader netip.AddrPort) {
+	if leader == c.leader {
+		return
+	}
+	c.leader = leader
+	c.stopPassing()
+	c.passing, c.stopPassing = context.WithCancel(c.ctx)
+}
+
+// serve lets the term serve a stream until either ends, or passes the stream
+// on to the leader.
+func (c *Control) serve(from keys.Info, s *peer.Stream, kind string, handle func(*term)) {
+	c.mu.Lock()
+	t, leader, passing := c.term, c.leader, c.passing
+	c.mu.Unlock()
+	switch {
+	case t != nil:
+		stop := context.AfterFunc(t.ctx, s.Abort)
+		defer stop()
+		handle(t)
+	case leader.IsValid() && !from.Allows(keys.Control):
+		// What another control process passed on goes no further: two
+		// processes could each take the other for the leader.
+		c.passOn(passing, s, leader, kind)
+	default:
+		s.Abort()
+	}
+}
+
+// passOn joins a daemon's stream to one to the leader, byte for byte.
+func (c *Control) passOn(ctx context.Context, s *peer.Stream, leader netip.AddrPort, kind string) {
+	defer s.Abort()
+	up, err := c.options.Pool.Open(ctx, leader, kind)
+	if err != nil {
+		c.options.Log.Debug("Cannot reach the leader.", zap.Stringer("leader", leader), zap.Error(err))
+		return
+	}
+	defer up.Abort()
+	stop := context.AfterFunc(ctx, func() {
+		s.Abort()
+		up.Abort()
+	})
+	defer stop()
+	go func() {
+		_, _ = io.Copy(up, s) // either direction's end ends both
+		s.Abort()
+		up.Abort()
+	}()
+	_, _ = io.Copy(s, up)
+}
--- a/daemon/internal/subscribe/publisher.go
+++ b/daemon/internal/subscribe/publisher.go
@@ -27,6 +27,8 @@
 const (
 	// batchWindow is how long changes are gathered before they are sent.
 	batchWindow = 100 * time.Millisecond
+	// confirmInterval is the time between confirmations by a majority.
+	confirmInterval = 200 * time.Millisecond
 	// queueLength bounds the messages that wait for one subscriber. Those
 	// beyond it are dropped and sent again later.
 	queueLength = 64
@@ -36,12 +38,14 @@
 type PublisherOptions struct {
 	// Epoch is greater than that of every earlier publisher of the fleet.
 	Epoch uint64
+	// Confirm returns nil once a majority has confirmed, after the call, that
+	// this process is the only publisher; nil where there can be no other.
+	Confirm func(context.Context) error
 	// Now is the clock.
 	Now func() time.Time
 }
 
-// Publisher publishes the fleet's state from one control process that is its
-// own quorum. It is safe for concurrent use.
+// Publisher publishes the fleet's state from one control process. It is safe for concurrent use.
 type Publisher struct {
 	options PublisherOptions
 	started time.Time
@@ -112,6 +116,9 @@
 
 // Run serves timers until ctx ends.
 func (p *Publisher) Run(ctx context.Context) {
+	if p.options.Confirm != nil {
+		go p.confirm(ctx)
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -126,6 +133,21 @@
 	}
 }
 
+// confirm has a majority confirm the publisher, over and over.
+func (p *Publisher) confirm(ctx context.Context) {
+	for {
+		began := p.now()
+		if p.options.Confirm(ctx) == nil {
+			p.mu.Lock()
+			p.root.Confirm(began)
+			p.mu.Unlock()
+		}
+		if !Sleep(ctx, confirmInterval) {
+			return
+		}
+	}
+}
+
 // Handle serves one subscription.
 func (p *Publisher) Handle(ctx context.Context, _ keys.Info, stream *peer.Stream) {
 	id, queue := p.connect()
@@ -165,7 +187,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	p.root.Confirm(now)
+	if p.options.Confirm == nil {
+		p.root.Confirm(now)
+	}
 	p.deliver(p.root.Receive(now, id, m))
 }
 
