--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -231,6 +231,14 @@
 	r.touch()
 }
 
+// fullWeight returns the weight of a ready member.
+func (r *Registry) fullWeight(m *member) uint32 {
+	if r.weigh == nil {
+		return view.FullWeight
+	}
+	return r.weigh(&m.announcement)
+}
+
 // touch has every service looked at by the next Tick.
 func (r *Registry) touch() {
 	for _, s := range r.services {
--- a/daemon/internal/role/control/configuration.go
+++ b/daemon/internal/role/control/configuration.go
@@ -136,13 +136,6 @@
 	c.replaceServices(services)
 }
 
-// SetServices replaces the services, for a process without replicated state.
-func (c *Control) SetServices(services []proto.Service) {
-	if t := c.current(); t != nil {
-		t.setServices(services)
-	}
-}
-
 func (c *term) setServices(services []proto.Service) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
