--- a/daemon/internal/group/group_test.go
+++ b/daemon/internal/group/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -50,6 +51,9 @@
 func (l *list) Restore(b []byte) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(b) == 0 {
+		return errors.New("no state")
+	}
 	l.items = strings.Split(string(b), ",")
 	return nil
 }
--- a/daemon/internal/replica/node.go
+++ b/daemon/internal/replica/node.go
@@ -244,8 +244,11 @@
 }
 
 func (n *Node) restore(s quorum.Snapshot) error {
-	if err := n.options.Machine.Restore(s.Data); err != nil {
-		return Machine.Wrap(err, "snapshot %d does not restore", s.Index)
+	// The first snapshot of a cluster holds a membership and no state.
+	if len(s.Data) > 0 {
+		if err := n.options.Machine.Restore(s.Data); err != nil {
+			return Machine.Wrap(err, "snapshot %d does not restore", s.Index)
+		}
 	}
 	n.applied, n.snapshot = s.Index, s.Index
 	// Their entries may lie within the snapshot, and their results with them.
