--- a/daemon/internal/node/node.go
+++ b/daemon/internal/node/node.go
@@ -14,6 +14,7 @@
 	"fulmarmount.org/daemon/internal/admin"
 	"fulmarmount.org/daemon/internal/fleetstore"
 	"fulmarmount.org/daemon/internal/group"
+	"fulmarmount.org/daemon/internal/handover"
 	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/settings"
@@ -29,6 +30,8 @@
 	// Spray is the number of balancers on this host that share the service
 	// addresses packet by packet; 0 where the fabric does that.
 	Spray int
+	// Inherited is what a predecessor on the same VM has handed over.
+	Inherited handover.Bundle
 	// Store is the replicated state that the control role publishes; nil in
 	// processes without that role.
 	Store *fleetstore.Store
@@ -73,26 +76,26 @@
 }
 
 // New returns the process, not yet started.
-func New(o Options, d *Dumper) *fx.App {
+func New(o Options, d *Dumper, s *Succession) *fx.App {
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger {
 			return &fxevent.ZapLogger{Logger: o.Log.Named("fx").WithOptions(zap.IncreaseLevel(zap.WarnLevel))}
 		}),
 		fx.StopTimeout(o.Settings.StopTimeout),
-		fx.Supply(o, d),
+		fx.Supply(o, d, s),
 		fx.Invoke(registerRoles),
 	)
 }
 
 // registerRoles starts the roles in an order in which each finds what it
 // connects to, and stops them in the opposite one.
-func registerRoles(lc fx.Lifecycle, o Options, d *Dumper) error {
+func registerRoles(lc fx.Lifecycle, o Options, d *Dumper, s *Succession) error {
 	var spread admin.Spread
 	if o.Settings.Has(settings.RoleControl) {
 		if err := openState(&o); err != nil {
 			return err
 		}
-		register(lc, d, settings.RoleControl, func() (role, error) {
+		register(lc, d, s, settings.RoleControl, func() (role, error) {
 			c, err := startControl(o)
 			if err == nil {
 				spread = c.(admin.Spread)
@@ -102,13 +105,14 @@
 	}
 	if o.Settings.Has(settings.RoleAgent) {
 		for _, a := range o.Settings.Agents {
-			register(lc, d, settings.RoleAgent, func() (role, error) { return startAgent(o, a) })
+			register(lc, d, s, settings.RoleAgent, func() (role, error) { return startAgent(o, a) })
 		}
 	}
 	if o.Settings.Has(settings.RoleBalancer) {
-		register(lc, d, settings.RoleBalancer, func() (role, error) { return startBalancer(o) })
+		register(lc, d, s, settings.RoleBalancer, func() (role, error) { return startBalancer(o) })
 	}
-	registerAdmin(lc, o, d, &spread)
+	registerAdmin(lc, o, d, s, &spread)
+	registerHandover(lc, o, s)
 	return nil
 }
 
@@ -119,13 +123,14 @@
 	Stop(ctx context.Context) error
 }
 
-func register(lc fx.Lifecycle, d *Dumper, name settings.Role, start func() (role, error)) {
+func register(lc fx.Lifecycle, d *Dumper, s *Succession, name settings.Role, start func() (role, error)) {
 	var running role
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) (err error) {
 			running, err = start()
 			if err == nil {
 				d.add(string(name), running)
+				s.add(running)
 			}
 			return err
 		},
--- a/daemon/internal/node/roles.go
+++ b/daemon/internal/node/roles.go
@@ -76,10 +76,12 @@
 	s := o.Settings.Balancer
 	return balancer.Start(balancer.Options{
 		Name:       o.Settings.Name,
+		Zone:       o.Settings.Zone,
 		Control:    o.Settings.Join.Control,
 		Packets:    s.Packets,
 		Spray:      o.Spray,
 		Wildcard:   s.Bind == settings.BindWildcard,
+		Inherited:  o.Inherited.Select(balancer.HandoverRole, o.Settings.Name),
 		MTU:        s.MTU,
 		ReadBuffer: s.ReceiveBuffer,
 		TLS:        o.clientTLS(keys.Control, keys.Agent),
--- a/daemon/internal/proto/proto.go
+++ b/daemon/internal/proto/proto.go
@@ -39,8 +39,9 @@
 
 // The modes of a service.
 const (
-	ModePacket Mode = "packet" // UDP datagrams, flow by flow
-	ModeStream Mode = "stream" // TCP connections
+	ModePacket  Mode = "packet"  // UDP datagrams, flow by flow
+	ModeStream  Mode = "stream"  // TCP connections
+	ModeRequest Mode = "request" // HTTP requests, each with an outcome of its own
 )
 
 // Service is what daemons need to know of a service.
--- a/daemon/internal/role/agent/packets.go
+++ b/daemon/internal/role/agent/packets.go
@@ -20,6 +20,7 @@
 	Refused   atomic.Uint64 // envelopes that were forged, replayed or not for here
 	Failed    atomic.Uint64 // a socket did not take the packet
 	Relayed   atomic.Uint64 // sent on to another agent
+	Silent    atomic.Uint64 // connections to control that went silent and were replaced
 
 	ControlSent  atomic.Uint64 // messages about flow ownership to other agents
 	ControlBytes atomic.Uint64 // bytes of them, envelopes included
@@ -159,7 +160,7 @@
 	a.stats.Replied.Add(1)
 }
 
-// sweep ends idle flows until ctx ends.
+// sweep ends idle flows, and those that a drain left too long, until ctx ends.
 func (a *Agent) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -169,7 +170,7 @@
 			return
 		case <-ticker.C:
 			now := a.options.Now()
-			a.flows.expire(now.Add(-a.options.IdleTimeout), a.owner.flows.End)
+			a.flows.expire(a.limits.expired(now), a.owner.flows.End)
 			a.paths.Expire(now)
 		}
 	}
--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -6,6 +6,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -13,6 +16,8 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/gateway"
+	"fulmarmount.org/daemon/internal/handover"
 	"fulmarmount.org/daemon/internal/packet"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
@@ -24,6 +29,8 @@
 type Options struct {
 	// Name is the VM's name.
 	Name string
+	// Zone is the availability zone.
+	Zone string
 	// Control are the addresses of control processes.
 	Control []netip.AddrPort
 	// Packets is the UDP address for envelopes to and from agents.
@@ -38,6 +45,8 @@
 	MTU int
 	// ReadBuffer is the kernel's receive buffer of each socket in bytes.
 	ReadBuffer int
+	// Inherited is what a predecessor on the same VM has handed over.
+	Inherited handover.Bundle
 	// TLS returns the settings of a connection to control or an agent.
 	TLS func() *tls.Config
 	// Keys seal the envelopes.
@@ -59,15 +68,24 @@
 	opener    *packet.Opener
 	envelopes *udp.Conn
 	pool      *peer.Pool
+	gateway   *gateway.Gateway
+	callers   *connQueue
+	server    *http.Server
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 
+	// readers counts the goroutines that read datagrams or accept connections.
+	readers sync.WaitGroup
 	// streams counts the connections that are open.
 	streams sync.WaitGroup
+	// inherited are the services of a predecessor until control's first update;
+	// only the subscription's goroutine uses it after the start.
+	inherited []proto.Service
 
 	mu        sync.Mutex
 	listeners map[listenKey]listener
 	stopping  bool
+	paused    bool
 }
 
 // listenKey names a listener of a service address.
@@ -76,12 +94,15 @@
 	addr netip.AddrPort
 }
 
-// listener is a socket on a service address.
-type listener interface{ Close() error }
+// listener is a socket on a service address: a *udp.Conn or a *net.TCPListener.
+type listener interface {
+	handover.Socket
+	deadliner
+}
 
 // Start opens the envelope socket and follows control until Close.
 func Start(o Options) (*Balancer, error) {
-	envelopes, err := udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: o.ReadBuffer})
+	envelopes, err := openEnvelopes(o)
 	if err != nil {
 		return nil, err
 	}
@@ -97,7 +118,9 @@
 		cancel:    cancel,
 		listeners: make(map[listenKey]listener),
 	}
-	b.tasks.Go(b.readEnvelopes)
+	b.startRequests()
+	b.inherit(o.Inherited)
+	b.run()
 	b.tasks.Go(func() { b.forwarder.run(ctx) })
 	b.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
@@ -112,10 +135,22 @@
 	return b, nil
 }
 
+// openEnvelopes returns the predecessor's envelope socket, or a new one.
+func openEnvelopes(o Options) (*udp.Conn, error) {
+	for _, item := range o.Inherited {
+		if conn, ok := item.Socket.(*net.UDPConn); ok && item.Kind == itemEnvelopes {
+			return udp.Inherit(conn)
+		}
+	}
+	return udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: o.ReadBuffer})
+}
+
 // Stop takes no new connections, waits until those that are open have ended or
 // ctx ends, and closes every socket.
 func (b *Balancer) Stop(ctx context.Context) error {
 	b.closeListeners(proto.ModeStream)
+	b.closeListeners(proto.ModeRequest)
+	_ = b.server.Shutdown(ctx) // what is left is cut off by Close
 	wait(ctx, &b.streams)
 	return b.Close()
 }
@@ -150,18 +185,28 @@
 func (b *Balancer) Close() error {
 	b.cancel()
 	b.closeListeners(proto.ModeStream)
+	b.closeListeners(proto.ModeRequest)
 	b.closeListeners(proto.ModePacket)
+	_ = b.server.Close()
+	b.gateway.Close()
 	err := b.envelopes.Close()
 	b.pool.Close()
+	b.readers.Wait()
 	b.tasks.Wait()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
 	return err
 }
 
 // adopt puts an update in force.
 func (b *Balancer) adopt(u proto.Update) {
+	b.retire(&u)
 	services := b.table.adopt(u)
 	b.forwarder.adopt(services, u.Views)
-	if len(u.Services) > 0 || len(u.Removed) > 0 {
+	changed := len(u.Services) > 0 || len(u.Removed) > 0
+	b.adoptRequests(services, changed)
+	if changed {
 		b.reconcile(services)
 	}
 }
@@ -176,7 +221,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stopping {
+	if b.stopping || b.paused {
 		return
 	}
 	for key, l := range b.listeners {
@@ -195,6 +240,27 @@
 			continue
 		}
 		b.listeners[key] = l
+		b.serve(key, l)
+	}
+}
+
+// serve reads from a listener unless the balancer is paused. The caller holds
+// the lock.
+func (b *Balancer) serve(key listenKey, l listener) {
+	if b.paused {
+		return
+	}
+	switch l := l.(type) {
+	case *udp.Conn:
+		b.readers.Go(func() { b.readCallers(l) })
+	case *net.TCPListener:
+		accept := b.acceptStreams
+		if key.mode == proto.ModeRequest {
+			accept = b.acceptRequests
+		}
+		b.readers.Go(func() { accept(l) })
+	default:
+		b.options.Log.Error("Cannot serve an address.", zap.Stringer("address", key.addr))
 	}
 }
 
@@ -207,10 +273,10 @@
 }
 
 func (b *Balancer) listen(key listenKey) (listener, error) {
-	if key.mode == proto.ModeStream {
-		return b.listenStream(key.addr)
+	if key.mode == proto.ModePacket {
+		return b.listenPacket(key.addr)
 	}
-	return b.listenPacket(key.addr)
+	return b.listenTCP(key.addr)
 }
 
 // target is the agent that a flow goes to.
--- a/daemon/internal/role/balancer/table.go
+++ b/daemon/internal/role/balancer/table.go
@@ -94,6 +94,14 @@
 	return target{service: id, view: v.Version, member: &v.Members[i]}, true
 }
 
+// service returns the service of an address.
+func (t *table) service(addr netip.AddrPort) (view.ServiceID, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	id, ok := t.addresses[addr]
+	return id, ok
+}
+
 // members returns the size of a service's view.
 func (t *table) members(id view.ServiceID) int {
 	t.mu.RLock()
@@ -125,3 +133,13 @@
 	}
 	return n
 }
+
+// update returns what is in force, for a successor to adopt.
+func (t *table) update() proto.Update {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return proto.Update{
+		Services: slices.Collect(maps.Values(t.services)),
+		Views:    slices.Collect(maps.Values(t.views)),
+	}
+}
