--- /dev/null
+++ b/daemon/internal/role/control/manual.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/proto"
+)
+
+// SetServices replaces the services, for a process without replicated state.
+func (c *Control) SetServices(services []proto.Service) {
+	if t := c.current(); t != nil {
+		t.setServices(services)
+	}
+}
+
+// SetDrained replaces the set of backend servers that operators have drained,
+// for a process without replicated state.
+func (c *Control) SetDrained(ids []string) {
+	t := c.current()
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.registry.SetDrained(ids)
+}
+
+// SetWeights replaces the weights, relative to view.FullWeight, of backend
+// servers whose capacity differs from the default, for a process without
+// replicated state.
+func (c *Control) SetWeights(weights map[string]uint32) {
+	t := c.current()
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.registry.SetWeights(func(a *view.Announcement) uint32 {
+		if w, ok := weights[a.ID]; ok {
+			return w
+		}
+		return view.FullWeight
+	})
+}
