Find settings through the resolver in control

Control looked through all exceptions for each service and backend server after every change. It now makes one resolver for a configuration and anew when an exception ends.

--- a/daemon/internal/role/control/configuration.go
+++ b/daemon/internal/role/control/configuration.go
@@ -32,9 +32,8 @@
 	revision uint64
 	document *fleet.Document
 	drains   []fleet.Drain
-	// expired is the number of exceptions that had ended when the weights
-	// were last set.
-	expired int
+	// resolver holds the exceptions that had not ended when it was made.
+	resolver *fleet.Resolver
 }
 
 // defaults returns the fleet-wide settings.
@@ -86,12 +85,13 @@
 	c.configuration = configuration{revision: m.Revision(), document: m.Document(), drains: m.Drains()}
 	now := c.options.Now()
 	var services []proto.Service
+	c.configuration.resolver = fleet.NewResolver(c.configuration.document, now)
 	for i := range c.configuration.document.Services {
-		services = append(services, c.service(&c.configuration.document.Services[i], now))
+		services = append(services, c.service(&c.configuration.document.Services[i]))
 	}
 	c.replaceServices(services)
 	c.registry.SetOptions(registryOptions(c.configuration.document.Defaults))
-	c.setWeights(now)
+	c.setWeights()
 	var drained []string
 	for _, d := range c.configuration.drains {
 		drained = append(drained, d.BackendServer)
@@ -103,21 +103,20 @@
 }
 
 // service returns what daemons are told of a service.
-func (c *term) service(s *fleet.Service, now time.Time) proto.Service {
+func (c *term) service(s *fleet.Service) proto.Service {
 	return proto.Service{
 		ID: s.ID, Name: s.Name, Mode: proto.Mode(s.Mode), Addresses: s.Addresses,
 		Share: s.Share, Classes: s.Classes, Repeatable: s.Repeatable,
-		Settings: c.configuration.document.Effective(fleet.Target{Service: s.Name}, now),
+		Settings: c.configuration.resolver.Effective(fleet.Target{Service: s.Name}),
 	}
 }
 
 // setWeights gives every backend server the weight in force for it. The caller
 // holds the lock.
-func (c *term) setWeights(now time.Time) {
-	document := c.configuration.document
-	c.configuration.expired = len(document.Expired(now))
+func (c *term) setWeights() {
+	resolver := c.configuration.resolver
 	c.registry.SetWeights(func(a *view.Announcement) uint32 {
-		return document.Effective(fleet.Target{Service: a.Service, Zone: a.Zone, BackendServer: a.ID}, now).Weight
+		return resolver.Effective(fleet.Target{Service: a.Service, Zone: a.Zone, BackendServer: a.ID}).Weight
 	})
 }
 
@@ -125,13 +124,14 @@
 // holds the lock.
 func (c *term) expireExceptions(now time.Time) {
 	document := c.configuration.document
-	if document == nil || len(document.Expired(now)) == c.configuration.expired {
+	if document == nil || len(document.Expired(now)) == c.configuration.resolver.Expired() {
 		return
 	}
-	c.setWeights(now)
+	c.configuration.resolver = fleet.NewResolver(document, now)
+	c.setWeights()
 	var services []proto.Service
 	for i := range document.Services {
-		services = append(services, c.service(&document.Services[i], now))
+		services = append(services, c.service(&document.Services[i]))
 	}
 	c.replaceServices(services)
 }
