Refuse requests meant for another service at the agent

An agent checked the incarnation of an attempt but not its service. It now fences an attempt for another service, so that the gateway is told with proof that it did not run. A test sends one and settles it.

--- a/daemon/internal/gateway/agent.go
+++ b/daemon/internal/gateway/agent.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,6 +66,8 @@
 type Agent struct {
 	o       AgentOptions
 	started time.Time
+	// service is the ID of the service, or 0 before its first view.
+	service atomic.Uint32
 	backend *backend
 	claims  *claims
 	stats   agentStats
@@ -129,7 +132,10 @@
 }
 
 // SetView adopts a view of the agent's service.
-func (a *Agent) SetView(v *view.View) { a.claims.setView(v) }
+func (a *Agent) SetView(v *view.View) {
+	a.service.Store(uint32(v.Service))
+	a.claims.setView(v)
+}
 
 // SetPolicy changes the policy of the service. Requests in flight keep the
 // slots that they have.
--- a/daemon/internal/gateway/gateway_test.go
+++ b/daemon/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"crypto/sha256"
 	"fmt"
 	"io"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"fulmarmount.org/core/attempt"
 )
 
 func echo(w http.ResponseWriter, r *http.Request) {
@@ -243,6 +246,33 @@
 	flood.Wait()
 }
 
+// TestRequestOfAnotherServiceIsFenced sends an agent what is meant for another
+// service: it refuses with proof, and settles so.
+func TestRequestOfAnotherServiceIsFenced(t *testing.T) {
+	is := is.New(t)
+	a := newBackendServer(t, echo)
+	f := newFixture(t, testPolicy(), a.addr())
+	agent, pool := f.agents[0], f.gateways[0].o.Pool
+	id := attempt.ID{Gateway: "g", Run: 1, Sequence: 1}
+	open := requestOpen{
+		ID: id, Service: testService + 1, Incarnation: agent.target.Incarnation, Timeout: time.Minute,
+		Method: http.MethodPost, URI: "/amendments", Host: "desk",
+	}
+	s, err := pool.Open(context.Background(), agent.server.Addr(), KindRequest)
+	is.NoErr(err)
+	is.NoErr(s.Send(open))
+	is.NoErr(s.Close())
+	var head answerHead
+	is.NoErr(s.Recv(&head))
+	is.True(head.Refused)
+	is.Equal(head.State, attempt.StateFenced)
+	in := settleRequest{ID: id, Incarnation: agent.target.Incarnation}
+	reply, err := call[settleReply](context.Background(), pool, agent.server.Addr(), KindSettle, in, time.Minute)
+	is.NoErr(err)
+	is.Equal(reply.State, attempt.StateFenced)
+	is.Equal(runs("", a), 0)
+}
+
 func TestDeadlineFreesTheSlot(t *testing.T) {
 	is := is.New(t)
 	gone := make(chan struct{}, 1)
--- a/daemon/internal/gateway/run.go
+++ b/daemon/internal/gateway/run.go
@@ -15,6 +15,7 @@
 
 	"fulmarmount.org/core/admission"
 	"fulmarmount.org/core/attempt"
+	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/peer"
 )
 
@@ -34,6 +35,10 @@
 	if !r.begin() {
 		return
 	}
+	if r.open.Service != view.ServiceID(r.a.service.Load()) {
+		r.fence(0) // meant for another service
+		return
+	}
 	queued, stop := context.WithDeadline(r.s.Context(), r.deadline)
 	defer stop()
 	g, class := r.a.admission(r.open.Urgency)
