Embedded order desk in request mode

Cause: the embedded default showed a repeated amendment running twice, as its service was balanced by connection. Change: the order desk is in request mode; the guide appears once the service answers and its records have begun, and names a fresh idempotency key.

--- a/daemon/internal/embedded/embedded.go
+++ b/daemon/internal/embedded/embedded.go
@@ -3,16 +3,21 @@
 package embedded
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/daemon/internal/settings"
 	"fulmarmount.org/daemon/internal/standin"
+	"fulmarmount.org/daemon/internal/subscribe"
 )
 
 // The addresses of the embedded services.
@@ -109,7 +114,12 @@
 	return &fleet.Document{
 		Defaults: fleet.DefaultSettings(),
 		Services: []fleet.Service{
-			{Name: deskService, Mode: fleet.ModeStream, Addresses: []netip.AddrPort{deskAddr}},
+			{
+				Name:       deskService,
+				Mode:       fleet.ModeRequest,
+				Addresses:  []netip.AddrPort{deskAddr},
+				Repeatable: []fleet.Route{{Method: http.MethodGet, Prefix: "/"}},
+			},
 			{Name: catalogueService, Mode: fleet.ModePacket, Addresses: []netip.AddrPort{catalogueAddr}},
 		},
 	}
@@ -118,12 +128,47 @@
 // socket returns the path of the operators' socket.
 func socket() string { return filepath.Join(os.TempDir(), "fulmarmount.sock") }
 
+const (
+	// answerInterval is how often Await looks for the first answer.
+	answerInterval = 200 * time.Millisecond
+	// recordTime is how long after the first answer the records of what ran
+	// start; a key that is older is refused.
+	recordTime = 3 * time.Second
+)
+
+// Await waits until the order desk answers and takes new idempotency keys, or
+// ctx ends.
+func (s *Services) Await(ctx context.Context) {
+	client := http.Client{Timeout: time.Second}
+	for ctx.Err() == nil {
+		response, err := client.Get("http://" + deskAddr.String() + "/")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				subscribe.Sleep(ctx, recordTime)
+				return
+			}
+		}
+		subscribe.Sleep(ctx, answerInterval)
+	}
+}
+
+// key returns an idempotency key that has just been made.
+func key() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return "a-UUID-of-version-7"
+	}
+	return id.String()
+}
+
 // Guide tells a person what to try.
 func (s *Services) Guide() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "fulmarmount serves two stand-in services. Try, in another terminal:\n\n")
 	fmt.Fprintf(&b, "  curl http://%s/\n", deskAddr)
-	fmt.Fprintf(&b, "  curl -H 'Idempotency-Key: a-1' -d 'blades: 40' http://%s/amendments\n", deskAddr)
+	fmt.Fprintf(&b, "  curl -H 'Idempotency-Key: %s' -d 'blades: 40' http://%s/amendments\n", key(), deskAddr)
+	fmt.Fprintf(&b, "  (the same again gets the first answer: the amendment runs once)\n")
 	fmt.Fprintf(&b, "  curl --http3-only -k https://%s/sheet?bytes=1000   (a curl with HTTP/3)\n\n", catalogueAddr)
 	fmt.Fprintf(&b, "Operators: fulmarctl --socket %s status\n", socket())
 	fmt.Fprintf(&b, "SIGUSR1 prints the state of the process, Ctrl-C ends it.\n")
--- a/daemon/internal/run/run.go
+++ b/daemon/internal/run/run.go
@@ -64,7 +64,10 @@
 		return err
 	}
 	n.Initial = services.Fleet()
-	n.Ready = func() { _, _ = fmt.Fprint(o.Output, services.Guide()) }
+	n.Ready = func() {
+		services.Await(ctx)
+		_, _ = fmt.Fprint(o.Output, services.Guide())
+	}
 	return serve(ctx, n)
 }
 
