--- a/daemon/internal/run/run.go
+++ b/daemon/internal/run/run.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -77,6 +78,9 @@
 	if err != nil {
 		return node.Options{}, err
 	}
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryLimit) << 20)
+	}
 	return node.Load(s, time.Now, log)
 }
 
--- a/daemon/internal/settings/parse.go
+++ b/daemon/internal/settings/parse.go
@@ -16,8 +16,10 @@
 const (
 	defaultStopTimeout   = 30 * time.Second
 	maxStopTimeout       = 24 * time.Hour
-	defaultMTU           = 1500 // bytes
-	minMTU               = 1280 // bytes, the least MTU of IPv6
+	defaultMemoryLimit   = 60      // MiB
+	maxMemoryLimit       = 1 << 20 // MiB
+	defaultMTU           = 1500    // bytes
+	minMTU               = 1280    // bytes, the least MTU of IPv6
 	maxMTU               = 65535
 	defaultReceiveBuffer = 4 << 20 // bytes
 	minReceiveBuffer     = 64 << 10
@@ -109,6 +111,7 @@
 	out.DataDir = p.path(r.String("data_dir", ""))
 	out.LogLevel = r.Enum("log_level", "info", "debug", "info", "warn", "error")
 	out.StopTimeout = r.Duration("stop_timeout", defaultStopTimeout, 0, maxStopTimeout)
+	out.MemoryLimit = r.Int("memory_limit", defaultMemoryLimit, 0, maxMemoryLimit)
 	out.Handover = p.path(r.String("handover", ""))
 	for _, item := range r.List("roles") {
 		role := Role(item)
--- a/daemon/internal/settings/settings.go
+++ b/daemon/internal/settings/settings.go
@@ -33,6 +33,9 @@
 	LogLevel string
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
+	// MemoryLimit is the memory that the process tries to stay within, in MiB;
+	// 0 sets no limit.
+	MemoryLimit int
 	// Handover is the path of the unix socket on which a process and its
 	// successor meet; empty for none.
 	Handover string
