--- a/daemon/internal/node/operators.go
+++ b/daemon/internal/node/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"go.uber.org/fx"
@@ -104,7 +105,7 @@
 			server, err = admin.Start(adminOptions(o, d, *spread))
 			if err == nil {
 				// A successor opens the same socket.
-				s.onLeave(func() { _ = server.Stop(context.Background()) })
+				s.onLeave(func() { releaseAdmin(server) })
 			}
 			return err
 		},
@@ -112,6 +113,17 @@
 	})
 }
 
+// releaseLimit bounds how long a successor waits for the operators' requests in
+// flight; what is left then is finished by the predecessor's stop.
+const releaseLimit = time.Second
+
+// releaseAdmin closes the operators' sockets for a successor.
+func releaseAdmin(server *admin.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
+	defer cancel()
+	_ = server.Stop(ctx)
+}
+
 func adminOptions(o Options, d *Dumper, spread admin.Spread) admin.Options {
 	options := admin.Options{
 		Name:     o.Settings.Name,
--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -148,8 +149,7 @@
 // Stop takes no new connections, waits until those that are open have ended or
 // ctx ends, and closes every socket.
 func (b *Balancer) Stop(ctx context.Context) error {
-	b.closeListeners(proto.ModeStream)
-	b.closeListeners(proto.ModeRequest)
+	b.closeListeners(proto.ModeStream, proto.ModeRequest)
 	_ = b.server.Shutdown(ctx) // what is left is cut off by Close
 	wait(ctx, &b.streams)
 	return b.Close()
@@ -168,13 +168,13 @@
 	}
 }
 
-// closeListeners closes the listeners of one mode.
-func (b *Balancer) closeListeners(mode proto.Mode) {
+// closeListeners closes the listeners of some modes for good.
+func (b *Balancer) closeListeners(modes ...proto.Mode) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.stopping = true
 	for key, l := range b.listeners {
-		if key.mode == mode {
+		if slices.Contains(modes, key.mode) {
 			_ = l.Close()
 			delete(b.listeners, key)
 		}
@@ -184,9 +184,7 @@
 // Close closes every socket. Flows go on through other balancers.
 func (b *Balancer) Close() error {
 	b.cancel()
-	b.closeListeners(proto.ModeStream)
-	b.closeListeners(proto.ModeRequest)
-	b.closeListeners(proto.ModePacket)
+	b.closeListeners(proto.ModeStream, proto.ModeRequest, proto.ModePacket)
 	_ = b.server.Close()
 	b.gateway.Close()
 	err := b.envelopes.Close()
--- a/daemon/internal/role/balancer/handover.go
+++ b/daemon/internal/role/balancer/handover.go
@@ -97,8 +97,7 @@
 // connections that are open here go on until they end.
 func (b *Balancer) Leave() {
 	b.cancel()
-	b.closeListeners(proto.ModePacket)
-	b.closeListeners(proto.ModeStream)
+	b.closeListeners(proto.ModePacket, proto.ModeStream, proto.ModeRequest)
 	b.closeListeners(proto.ModeRequest)
 	b.streams.Go(func() { _ = b.server.Shutdown(context.Background()) })
 	_ = b.envelopes.Close()
