admin: only the leader tells how far a version has spread

It now answers that another process knows, and the client asks on. The test with real processes asks a follower.

--- a/daemon/internal/admin/handler.go
+++ b/daemon/internal/admin/handler.go
@@ -187,8 +187,18 @@
 	write(w, http.StatusOK, status)
 }
 
+// leader is a Spread of which one process of several knows.
+type leader interface {
+	Leading() bool
+}
+
 func (h *handler) progress(w http.ResponseWriter, r *http.Request) {
 	revision, ok := number(w, r, "revision")
+	if l, member := h.options.Spread.(leader); member && !l.Leading() {
+		// Its count of no daemons would pass for all of them.
+		problem(w, http.StatusServiceUnavailable, "another process leads the control group, and knows")
+		return
+	}
 	if ok && h.has(w, h.options.Spread != nil) {
 		write(w, http.StatusOK, h.options.Spread.Progress(revision, maxMissing))
 	}
--- a/daemon/internal/group/processes_test.go
+++ b/daemon/internal/group/processes_test.go
@@ -330,6 +330,11 @@
 	s := newSite(t)
 	s.apply(5)
 	d := s.follow()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second) // the client would ask again for ever
+	defer cancel()
+	if _, err := s.follower().client.Progress(ctx, s.version); err == nil {
+		t.Fatal("a follower tells how far a version has spread")
+	}
 
 	killed := s.leader()
 	kill := time.AfterFunc(30*time.Millisecond, func() { _ = killed.cmd.Process.Kill() })
--- a/daemon/internal/role/control/daemons.go
+++ b/daemon/internal/role/control/daemons.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// Leading reports whether this process knows of the daemons.
+func (c *Control) Leading() bool { return c.current() != nil }
+
 // Progress implements admin.Spread. Only the leader knows.
 func (c *Control) Progress(revision uint64, limit int) admin.Progress {
 	if t := c.current(); t != nil {
