--- a/daemon/internal/run/run.go
+++ b/daemon/internal/run/run.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -64,7 +65,10 @@
 		return err
 	}
 	n.Initial = services.Fleet()
-	n.Ready = func() { _, _ = fmt.Fprint(o.Output, services.Guide()) }
+	n.Ready = func() {
+		services.Await(ctx)
+		_, _ = fmt.Fprint(o.Output, services.Guide())
+	}
 	return serve(ctx, n)
 }
 
@@ -74,6 +78,9 @@
 	if err != nil {
 		return node.Options{}, err
 	}
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryLimit) << 20)
+	}
 	return node.Load(s, time.Now, log)
 }
 
