Take new idempotency keys only while the view is known to be current

Cause: two holders and a gateway that a partition keeps on an old view for over 30 s could let a key run that the other side lets run as well. Ruled out: leaving it to operators; at most once must hold always. Change: the subscription reports each time at which its state was current; an agent takes new keys for 25 s after the last one. Flows and requests without a key go on without control. The test's service address is now per process. Conclusion: a side without control refuses amendments rather than doubling one.

--- a/daemon/internal/gateway/agent.go
+++ b/daemon/internal/gateway/agent.go
@@ -35,6 +35,9 @@
 	// ClockSkew bounds the difference between the clocks of callers and agents;
 	// zero stands for 5 s.
 	ClockSkew time.Duration
+	// ConfirmWithin is how long after the last Confirm new idempotency keys are
+	// still taken; zero asks for no confirmation. See attempt.ClaimsConfig.
+	ConfirmWithin time.Duration
 	// Pool reaches the other agents of the service.
 	Pool *peer.Pool
 	// Now is the clock.
@@ -161,8 +164,8 @@
 	return g.load()
 }
 
-// Confirm reports that the view in force was found to be current.
-func (a *Agent) Confirm() { a.claims.confirm() }
+// Confirm reports that the view in force was current at a time.
+func (a *Agent) Confirm(asOf time.Time) { a.claims.confirm(asOf) }
 
 // Busy reports whether requests run or wait.
 func (a *Agent) Busy() bool { return a.load() > 0 }
--- a/daemon/internal/gateway/claims.go
+++ b/daemon/internal/gateway/claims.go
@@ -32,12 +32,13 @@
 		addrs:   make(map[string]netip.AddrPort),
 		replies: make(map[uint64]chan attempt.ClaimReply),
 		core: attempt.NewClaims(o.Now(), attempt.ClaimsConfig{
-			Self:       o.Self,
-			Lifetime:   recordLifetime,
-			Skew:       o.ClockSkew,
-			Answer:     holderAnswer,
-			Lag:        viewLag,
-			MaxEntries: maxClaims,
+			Self:          o.Self,
+			Lifetime:      recordLifetime,
+			Skew:          o.ClockSkew,
+			Answer:        holderAnswer,
+			Lag:           viewLag,
+			ConfirmWithin: o.ConfirmWithin,
+			MaxEntries:    maxClaims,
 		}),
 	}
 }
@@ -54,10 +55,10 @@
 	c.perform(c.core.Tick(c.o.Now()))
 }
 
-func (c *claims) confirm() {
+func (c *claims) confirm(asOf time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.core.Confirm(c.o.Now())
+	c.core.Confirm(asOf)
 }
 
 func (c *claims) setView(v *view.View) {
--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,8 +40,11 @@
 	control *control.Control
 	agents  int
 	via     netip.AddrPort // where control is reached, if not at its own address
+	ahead   atomic.Int64   // of the fleet's clock before the machine's, in nanoseconds
 }
 
+func (f *testFleet) now() time.Time { return time.Now().Add(time.Duration(f.ahead.Load())) }
+
 // newEmptyFleet returns a fleet without processes.
 func newEmptyFleet(t *testing.T) *testFleet {
 	t.Helper()
@@ -78,7 +82,7 @@
 	if f.via.IsValid() {
 		s.Join.Control = []netip.AddrPort{f.via}
 	}
-	return Options{Settings: &s, Identity: identity, Ring: f.set.Ring, Spray: 2, Now: time.Now, Log: zap.NewNop()}
+	return Options{Settings: &s, Identity: identity, Ring: f.set.Ring, Spray: 2, Now: f.now, Log: zap.NewNop()}
 }
 
 func (f *testFleet) balancer(name string) *balancer.Balancer { return f.successor(name, nil) }
@@ -147,7 +151,7 @@
 // process has its port: balancers share ports, with wildcard sockets on every
 // address, so two processes with one port would take each other's packets.
 func testAddr(n int) netip.AddrPort {
-	const firstPort, processes, addresses = 10_000, 7_000, 3 // below the ephemeral ports
+	const firstPort, processes, addresses = 10_000, 5_000, 4 // below the ephemeral ports
 	port := firstPort + os.Getpid()%processes*addresses + n
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 40, byte(1 + n)}), uint16(port))
 }
--- a/daemon/internal/node/requests_test.go
+++ b/daemon/internal/node/requests_test.go
@@ -17,7 +17,7 @@
 	"fulmarmount.org/daemon/internal/standin"
 )
 
-var requestAddr = netip.MustParseAddrPort("127.0.40.4:4000")
+var requestAddr = testAddr(3)
 
 // requestReply is an answer or a refusal.
 type requestReply struct {
@@ -50,6 +50,54 @@
 	return r, json.Unmarshal(body, &r)
 }
 
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// waitForKeys waits until the agents take keys, which is once they are older
+// than the clocks' skew.
+func waitForKeys(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	for deadline := time.Now().Add(patience); ; {
+		r, err := amendOnce(newKey())
+		is.NoErr(err)
+		if r.Status == http.StatusOK {
+			return
+		}
+		is.True(time.Now().Before(deadline))
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// TestAgentsCutOffFromControlTakeNoNewKeys shows that agents which may be on
+// the lesser side of a partition refuse what the other side may also run.
+func TestAgentsCutOffFromControlTakeNoNewKeys(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, proto.Service{ID: 1, Name: "desk", Mode: proto.ModeRequest, Addresses: []netip.AddrPort{requestAddr}})
+	desk, err := standin.StartOrderDesk(standin.OrderDeskOptions{Name: "desk"})
+	is.NoErr(err)
+	defer desk.Close()
+	f.agent("desk", desk.Addr())
+	b := f.balancer("balancer-1")
+	waitForMembers(t, b, b, 1)
+	waitForKeys(t)
+
+	is.NoErr(f.control.Close())
+	before, after := newKey(), newKey()
+	r, err := amendOnce(before)
+	is.NoErr(err)
+	is.Equal(r.Status, http.StatusOK)
+
+	// Views of other processes may have moved on after 30 s.
+	f.ahead.Store(int64(26 * time.Second))
+	r, err = amendOnce(after)
+	is.NoErr(err)
+	is.Equal(r.Status, http.StatusServiceUnavailable)
+	is.Equal(desk.Runs(after), 0)
+	_, err = amendOnce(before)
+	is.NoErr(err)
+	is.Equal(desk.Runs(before), 1)
+}
+
 // TestAmendmentsRunAtMostOnce sends amendments over two balancers and two
 // agents while backend servers shed, cut and stall, and an agent restarts.
 func TestAmendmentsRunAtMostOnce(t *testing.T) {
@@ -72,18 +120,7 @@
 			d.SetMode(m)
 		}
 	}
-	newKey := func() string { return uuid.Must(uuid.NewV7()).String() }
-
-	// The agents start to take keys once they are older than the clocks' skew.
-	for deadline := time.Now().Add(patience); ; {
-		r, err := amendOnce(newKey())
-		is.NoErr(err)
-		if r.Status == http.StatusOK {
-			break
-		}
-		is.True(time.Now().Before(deadline))
-		time.Sleep(100 * time.Millisecond)
-	}
+	waitForKeys(t)
 	tests := []struct {
 		name    string
 		mode    standin.Mode
--- a/daemon/internal/role/agent/agent.go
+++ b/daemon/internal/role/agent/agent.go
@@ -63,6 +63,11 @@
 	Log *zap.Logger
 }
 
+// confirmWithin is how long an agent without control still takes new
+// idempotency keys. It is shorter than control keeps a silent host in the views,
+// so that no two groups of holders let one key run.
+const confirmWithin = 25 * time.Second
+
 // Agent is one running agent.
 type Agent struct {
 	options   Options
@@ -107,13 +112,14 @@
 	}
 	a.flows.init()
 	a.requests = gateway.NewAgent(gateway.AgentOptions{
-		Self:    attempt.Target{Server: o.ID, Incarnation: o.Incarnation},
-		Backend: o.Backend,
-		Slots:   int(o.Slots),
-		Policy:  gateway.DefaultPolicy(),
-		Pool:    a.pool,
-		Now:     o.Now,
-		Log:     o.Log.Named("requests"),
+		Self:          attempt.Target{Server: o.ID, Incarnation: o.Incarnation},
+		Backend:       o.Backend,
+		Slots:         int(o.Slots),
+		Policy:        gateway.DefaultPolicy(),
+		ConfirmWithin: confirmWithin,
+		Pool:          a.pool,
+		Now:           o.Now,
+		Log:           o.Log.Named("requests"),
 	})
 	handlers := a.requests.Handlers()
 	handlers[proto.Tunnel] = a.tunnel
@@ -136,13 +142,14 @@
 	a.tasks.Go(func() { a.announce(ctx) })
 	a.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
-			Name:    o.ID,
-			Keys:    []string{proto.ServiceKey(o.Service), proto.ViewKey(o.Service)},
-			Control: o.Control,
-			Pool:    a.pool,
-			Adopt:   a.adopt,
-			Now:     o.Now,
-			Log:     o.Log,
+			Name:      o.ID,
+			Keys:      []string{proto.ServiceKey(o.Service), proto.ViewKey(o.Service)},
+			Control:   o.Control,
+			Pool:      a.pool,
+			Adopt:     a.adopt,
+			Confirmed: a.requests.Confirm,
+			Now:       o.Now,
+			Log:       o.Log,
 		})
 	})
 	return a, nil
--- a/daemon/internal/subscribe/subscribe.go
+++ b/daemon/internal/subscribe/subscribe.go
@@ -27,6 +27,10 @@
 	Pool *peer.Pool
 	// Adopt is called with what has come in force, by one goroutine.
 	Adopt func(proto.Update)
+	// Confirmed is called with a time at which what is in force was current,
+	// by the same goroutine, each time that a later one is known; nil where
+	// nobody asks.
+	Confirmed func(asOf time.Time)
 	// Now is the clock.
 	Now func() time.Time
 	Log *zap.Logger
@@ -47,6 +51,7 @@
 	started time.Time
 	sink    *spread.Sink
 	session uint64
+	asOf    time.Duration // of the last call of Confirmed
 }
 
 // Run follows the fleet's state until ctx ends. Where control is lost, what is
@@ -174,6 +179,7 @@
 	if len(out.Adopted) > 0 {
 		s.options.Adopt(update)
 	}
+	s.confirm()
 	for _, m := range out.Messages {
 		if err := stream.Send(m); err != nil {
 			return err
@@ -182,6 +188,16 @@
 	return nil
 }
 
+// confirm reports a later time at which what is in force was current.
+func (s *subscription) confirm() {
+	asOf, ok := s.sink.AsOf()
+	if !ok || asOf <= s.asOf || s.options.Confirmed == nil {
+		return
+	}
+	s.asOf = asOf
+	s.options.Confirmed(s.started.Add(asOf))
+}
+
 // Jitter draws a delay between half of d and d.
 func Jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
--- a/daemon/internal/subscribe/subscribe_test.go
+++ b/daemon/internal/subscribe/subscribe_test.go
@@ -70,13 +70,15 @@
 type follower struct {
 	t       *testing.T
 	updates chan proto.Update
+	// confirmed receives the times at which what is in force was current.
+	confirmed chan time.Time
 }
 
 func startFollower(t *testing.T, set *keys.Set, only []string, control netip.AddrPort) *follower {
 	t.Helper()
 	identity, err := set.Identity("balancer", time.Now())
 	is.New(t).NoErr(err)
-	f := &follower{t: t, updates: make(chan proto.Update, 16)}
+	f := &follower{t: t, updates: make(chan proto.Update, 16), confirmed: make(chan time.Time, 1024)}
 	pool := peer.NewPool(func() *tls.Config {
 		return identity.ClientTLSFor("", []keys.Role{keys.Control}, peer.Protocol)
 	})
@@ -86,7 +88,7 @@
 		defer close(done)
 		Run(ctx, Options{
 			Name: "balancer", Keys: only, Control: []netip.AddrPort{control}, Pool: pool,
-			Adopt: func(u proto.Update) { f.updates <- u }, Now: time.Now, Log: zap.NewNop(),
+			Adopt: func(u proto.Update) { f.updates <- u }, Confirmed: func(at time.Time) { f.confirmed <- at }, Now: time.Now, Log: zap.NewNop(),
 		})
 	}()
 	t.Cleanup(func() {
@@ -134,6 +136,26 @@
 	}
 }
 
+func TestConfirmationsEndWithControl(t *testing.T) {
+	is := is.New(t)
+	set, err := keys.Ephemeral(time.Now())
+	is.NoErr(err)
+	before := time.Now()
+	c := startControl(t, set, loopback, 1)
+	c.publish(t, "a", 1)
+	f := startFollower(t, set, nil, c.server.Addr())
+	f.next()
+	first, second := <-f.confirmed, <-f.confirmed
+	is.True(first.After(before))
+	is.True(second.After(first))
+	c.stop()
+	stopped := time.Now()
+	// What is still on the way was asked for before the stop.
+	for len(f.confirmed) > 0 {
+		is.True((<-f.confirmed).Before(stopped))
+	}
+}
+
 func TestOnlyTheKeysAskedForArrive(t *testing.T) {
 	is := is.New(t)
 	set, err := keys.Ephemeral(time.Now())
