Leave time to close after a graceful stop; name the known fault

Cause: a role that used up the graceful limit left no time for the roles after it, and the process ended with an error: the hooks of a stop share one deadline. Change: the stop may take 5 s more than its limit, and roles see only the limit; an agent logs what it cut off. The restart of an agent still moves sessions to a second backend server. Conclusion: agents need the handover that balancers have; not done.

--- a/daemon/internal/e2e/e2e_test.go
+++ b/daemon/internal/e2e/e2e_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,13 +19,15 @@
 const sheetBytes = 64 << 20
 
 // startEchoes starts backend servers of sessions with an agent beside each.
-func (f *fleet) startEchoes(service string, n int) {
+func (f *fleet) startEchoes(service string, n int) []*process {
+	var agents []*process
 	for i := range n {
 		echo, err := standin.StartEcho(standin.EchoOptions{Name: fmt.Sprint("echo-", i)})
 		is.New(f.t).NoErr(err)
 		f.t.Cleanup(func() { _ = echo.Close() })
-		f.startAgent(service, echo.Addr())
+		agents = append(agents, f.startAgent(service, echo.Addr()))
 	}
+	return agents
 }
 
 // startCatalogue starts the backend server of downloads with its agent.
@@ -159,3 +162,25 @@
 		is.True(s.Report().Whole())
 	}
 }
+
+// TestAgentRestartKeepsSessions is known to fail; see KNOWN-RED.txt.
+func TestAgentRestartKeepsSessions(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.startControl()
+	addr := serviceAddr(4)
+	f.apply(fmt.Sprintf("[defaults]\nwarming = 1s\nidle_timeout = 1h\n\n"+
+		"[service.telemetry]\nmode = packet\naddresses = %v\n", addr))
+	agents := f.startEchoes("telemetry", 3)
+	f.startBalancer()
+	f.settled(4, 3)
+	all := f.sessions(addr, 12)
+	exchange(t, all, 4)
+	for _, a := range agents {
+		is.NoErr(a.cmd.Process.Signal(syscall.SIGTERM))
+		is.NoErr(a.cmd.Wait())
+		a.run()
+		exchange(t, all, 4)
+		checkUnbroken(t, all)
+	}
+}
--- a/daemon/internal/node/node.go
+++ b/daemon/internal/node/node.go
@@ -81,7 +81,7 @@
 		fx.WithLogger(func() fxevent.Logger {
 			return &fxevent.ZapLogger{Logger: o.Log.Named("fx").WithOptions(zap.IncreaseLevel(zap.WarnLevel))}
 		}),
-		fx.StopTimeout(o.Settings.StopTimeout),
+		fx.StopTimeout(o.Settings.StopTimeout+CloseTime),
 		fx.Supply(o, d, s),
 		fx.Invoke(registerRoles),
 	)
@@ -123,6 +123,22 @@
 	Stop(ctx context.Context) error
 }
 
+// CloseTime is how much longer than its graceful limit a stop may take: the time
+// to close what is left once the limit has passed.
+const CloseTime = 5 * time.Second
+
+// stopRole stops a role so that CloseTime is left of ctx when its graceful part
+// ends; otherwise the roles after it would not be stopped at all.
+func stopRole(ctx context.Context, r role) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return r.Stop(ctx)
+	}
+	graceful, cancel := context.WithDeadline(ctx, deadline.Add(-CloseTime))
+	defer cancel()
+	return r.Stop(graceful)
+}
+
 func register(lc fx.Lifecycle, d *Dumper, s *Succession, name settings.Role, start func() (role, error)) {
 	var running role
 	lc.Append(fx.Hook{
@@ -134,6 +150,6 @@
 			}
 			return err
 		},
-		OnStop: func(ctx context.Context) error { return running.Stop(ctx) },
+		OnStop: func(ctx context.Context) error { return stopRole(ctx, running) },
 	})
 }
--- a/daemon/internal/role/agent/agent.go
+++ b/daemon/internal/role/agent/agent.go
@@ -174,6 +174,10 @@
 	}
 	for a.busy() && subscribe.Sleep(ctx, idleCheck) {
 	}
+	if a.busy() {
+		a.options.Log.Warn("Stopped before all work was done.",
+			zap.Int("flows", a.flows.count()), zap.Int64("tunnels", a.tunnels.Load()))
+	}
 	return a.Close()
 }
 
--- a/daemon/internal/run/run.go
+++ b/daemon/internal/run/run.go
@@ -108,7 +108,7 @@
 	case <-succession.Left():
 	}
 	o.Log.Named("process").Info("Stopping.", zap.Duration("limit", o.Settings.StopTimeout))
-	stopCtx, cancel := context.WithTimeout(context.Background(), o.Settings.StopTimeout)
+	stopCtx, cancel := context.WithTimeout(context.Background(), o.Settings.StopTimeout+node.CloseTime)
 	defer cancel()
 	return app.Stop(stopCtx)
 }
