--- a/daemon/internal/embedded/embedded.go
+++ b/daemon/internal/embedded/embedded.go
@@ -35,7 +35,6 @@
 
 	deskServers = 2
 
-	mtu         = 1500 // bytes
 	slots       = 4
 	idleTimeout = time.Hour
 	stopTimeout = 5 * time.Second
@@ -88,7 +87,7 @@
 		Admin:       settings.Admin{Socket: socket()},
 		Control:     settings.Control{Listen: controlAddr},
 		Join:        settings.Join{Control: []netip.AddrPort{controlAddr}},
-		Balancer:    settings.Balancer{Packets: anyPort, MTU: mtu},
+		Balancer:    settings.Balancer{Packets: anyPort, MTU: settings.DefaultMTU},
 	}
 	for _, d := range s.desks {
 		p.Agents = append(p.Agents, agent(deskService, d.Name(), d.Addr()))
@@ -104,6 +103,7 @@
 		Backend:     backend,
 		Packets:     anyPort,
 		Requests:    anyPort,
+		MTU:         settings.DefaultMTU,
 		Slots:       slots,
 		IdleTimeout: idleTimeout,
 	}
--- a/daemon/internal/handover/handover.go
+++ b/daemon/internal/handover/handover.go
@@ -38,15 +38,16 @@
 // Bundle is all that one process hands over.
 type Bundle []Item
 
-// Select returns the items of one role and name.
-func (b Bundle) Select(role, name string) Bundle {
-	var out Bundle
+// Split parts the items of one role and name from the rest.
+func (b Bundle) Split(role, name string) (own, rest Bundle) {
 	for _, item := range b {
 		if item.Role == role && item.Name == name {
-			out = append(out, item)
+			own = append(own, item)
+		} else {
+			rest = append(rest, item)
 		}
 	}
-	return out
+	return own, rest
 }
 
 // Close closes the sockets of items that nobody took.
--- a/daemon/internal/handover/handover_test.go
+++ b/daemon/internal/handover/handover_test.go
@@ -64,10 +64,12 @@
 			is.NoErr(item.Socket.Close())
 		}
 	}
-	is.Equal(len(bundle.Select("agent", "host")), sockets)
-	is.Equal(len(bundle.Select("agent", "other")[0].Body), maxBodies)
+	flows, rest := bundle.Split("agent", "host")
+	is.Equal(len(flows), sockets)
+	is.Equal(len(rest), 1)
+	is.Equal(len(rest[0].Body), maxBodies)
 	buf := make([]byte, 32)
-	for i, item := range bundle.Select("agent", "host") {
+	for i, item := range flows {
 		is.Equal(string(item.Body), fmt.Sprint(i))
 		n, _, err := item.Socket.(*net.UDPConn).ReadFrom(buf)
 		is.NoErr(err)
--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -112,6 +113,7 @@
 		Backend:     backend,
 		Packets:     netip.MustParseAddrPort("127.0.0.1:0"),
 		Requests:    netip.MustParseAddrPort("127.0.0.1:0"),
+		MTU:         settings.DefaultMTU,
 		Slots:       4,
 		IdleTimeout: time.Hour,
 	})
@@ -406,6 +408,39 @@
 	is.NoErr(response.Body.Close())
 }
 
+func TestReplyBeyondThePathIsDroppedAndCounted(t *testing.T) {
+	is := is.New(t)
+	backend, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	defer backend.Close()
+	go func() {
+		buf := make([]byte, 64)
+		for {
+			_, from, err := backend.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			_, _ = backend.WriteToUDPAddrPort(make([]byte, 1400), from)
+			_, _ = backend.WriteToUDPAddrPort(make([]byte, 1200), from)
+		}
+	}()
+	f := newFleet(t, proto.Service{ID: 1, Name: "floor", Mode: proto.ModePacket, Addresses: []netip.AddrPort{floorAddr}})
+	a := f.agent("floor", backend.LocalAddr().(*net.UDPAddr).AddrPort())
+	b := f.balancer("balancer-1")
+	waitForMembers(t, b, b, 1)
+
+	caller, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(floorAddr))
+	is.NoErr(err)
+	defer caller.Close()
+	is.NoErr(caller.SetReadDeadline(time.Now().Add(patience)))
+	_, err = caller.Write([]byte("ask"))
+	is.NoErr(err)
+	n, err := caller.Read(make([]byte, 2000))
+	is.NoErr(err)
+	is.Equal(n, 1200)
+	is.Equal(a.Counters().(agent.Counters).Oversize, uint64(1))
+}
+
 // expired returns a context that has ended, for stops that wait for nothing.
 func expired() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/internal/node/roles.go
+++ b/daemon/internal/node/roles.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/keys"
 	"fulmarmount.org/daemon/internal/peer"
@@ -74,6 +76,11 @@
 
 func startBalancer(o Options) (role, error) {
 	s := o.Settings.Balancer
+	inherited, rest := o.Inherited.Split(balancer.HandoverRole, o.Settings.Name)
+	if len(rest) > 0 {
+		o.Log.Named("balancer").Warn("The predecessor had another name or role. Its items are closed.", zap.Int("items", len(rest)))
+		rest.Close()
+	}
 	return balancer.Start(balancer.Options{
 		Name:       o.Settings.Name,
 		Zone:       o.Settings.Zone,
@@ -81,7 +88,7 @@
 		Packets:    s.Packets,
 		Spray:      o.Spray,
 		Wildcard:   s.Bind == settings.BindWildcard,
-		Inherited:  o.Inherited.Select(balancer.HandoverRole, o.Settings.Name),
+		Inherited:  inherited,
 		MTU:        s.MTU,
 		ReadBuffer: s.ReceiveBuffer,
 		TLS:        o.clientTLS(keys.Control, keys.Agent),
@@ -92,10 +99,6 @@
 	})
 }
 
-// agentMTU is the largest IP packet in bytes that an agent reads from its
-// backend server.
-const agentMTU = 1500
-
 func startAgent(o Options, s settings.Agent) (role, error) {
 	return agent.Start(agent.Options{
 		ID:          s.ID,
@@ -107,7 +110,7 @@
 		Requests:    s.Requests,
 		Slots:       uint16(s.Slots),
 		IdleTimeout: s.IdleTimeout,
-		MTU:         agentMTU,
+		MTU:         s.MTU,
 		Control:     o.Settings.Join.Control,
 		ServerTLS:   o.Identity.ServerTLSFor([]keys.Role{keys.Balancer, keys.Agent}, peer.Protocol),
 		ClientTLS:   o.clientTLS(keys.Control, keys.Agent),
--- a/daemon/internal/role/agent/dump.go
+++ b/daemon/internal/role/agent/dump.go
@@ -53,6 +53,7 @@
 	Replied   uint64 `json:"replied"`
 	Refused   uint64 `json:"refused"`
 	Failed    uint64 `json:"failed"`
+	Oversize  uint64 `json:"oversize"`
 	Relayed   uint64 `json:"relayed"`
 	Silent    uint64 `json:"silent"`
 
@@ -118,6 +119,7 @@
 		Replied:   a.stats.Replied.Load(),
 		Refused:   a.stats.Refused.Load(),
 		Failed:    a.stats.Failed.Load(),
+		Oversize:  a.stats.Oversize.Load(),
 		Relayed:   a.stats.Relayed.Load(),
 		Silent:    a.stats.Silent.Load(),
 
--- a/daemon/internal/role/agent/packets.go
+++ b/daemon/internal/role/agent/packets.go
@@ -19,6 +19,7 @@
 	Replied   atomic.Uint64 // sent to a balancer
 	Refused   atomic.Uint64 // envelopes that were forged, replayed or not for here
 	Failed    atomic.Uint64 // a socket did not take the packet
+	Oversize  atomic.Uint64 // a reply would not fit the MTU in an envelope
 	Relayed   atomic.Uint64 // sent on to another agent
 	Silent    atomic.Uint64 // connections to control that went silent and were replaced
 
@@ -148,6 +149,11 @@
 		ReplyTo: replyTo,
 		Flow:    flow.Packet{Service: service, Target: a.options.Incarnation, Tuple: o.tuple},
 	}
+	if len(payload) > header.MaxPayload(a.options.MTU) {
+		// The backend server's path MTU discovery settles below the limit.
+		a.stats.Oversize.Add(1)
+		return
+	}
 	sealed, err := a.sealer.Seal(out, &header, payload)
 	if err != nil {
 		a.stats.Failed.Add(1)
--- a/daemon/internal/role/balancer/handover.go
+++ b/daemon/internal/role/balancer/handover.go
@@ -122,6 +122,9 @@
 			b.inheritState(item)
 		case itemEnvelopes:
 			b.inheritSessions(item)
+		default:
+			b.options.Log.Warn("Passed over what the predecessor handed over.", zap.String("kind", item.Kind))
+			handover.Bundle{item}.Close()
 		}
 	}
 }
--- a/daemon/internal/settings/parse.go
+++ b/daemon/internal/settings/parse.go
@@ -12,13 +12,15 @@
 	"fulmarmount.org/daemon/internal/inifile"
 )
 
+// DefaultMTU is the largest IP packet in bytes on most paths.
+const DefaultMTU = 1500
+
 // Defaults and bounds of the settings.
 const (
 	defaultStopTimeout   = 30 * time.Second
 	maxStopTimeout       = 24 * time.Hour
 	defaultMemoryLimit   = 60      // MiB
 	maxMemoryLimit       = 1 << 20 // MiB
-	defaultMTU           = 1500    // bytes
 	minMTU               = 1280    // bytes, the least MTU of IPv6
 	maxMTU               = 65535
 	defaultReceiveBuffer = 4 << 20 // bytes
@@ -203,7 +205,7 @@
 	out.Balancer = Balancer{
 		Packets:       r.RequiredAddr("packets"),
 		Bind:          Bind(r.Enum("bind", string(BindAddresses), string(BindAddresses), string(BindWildcard))),
-		MTU:           r.Int("mtu", defaultMTU, minMTU, maxMTU),
+		MTU:           r.Int("mtu", DefaultMTU, minMTU, maxMTU),
 		ReceiveBuffer: r.Int("rcvbuf", defaultReceiveBuffer, minReceiveBuffer, maxReceiveBuffer),
 	}
 }
@@ -225,6 +227,7 @@
 			Backend:     r.RequiredAddr("backend"),
 			Packets:     r.RequiredAddr("packets"),
 			Requests:    r.RequiredAddr("requests"),
+			MTU:         r.Int("mtu", DefaultMTU, minMTU, maxMTU),
 			Slots:       r.Int("slots", defaultSlots, 1, maxSlots),
 			IdleTimeout: r.Duration("idle_timeout", defaultIdleTimeout, minIdleTimeout, maxIdleTimeout),
 		}
--- a/daemon/internal/settings/settings.go
+++ b/daemon/internal/settings/settings.go
@@ -129,6 +129,8 @@
 	Packets netip.AddrPort
 	// Requests is the QUIC address for requests and streams.
 	Requests netip.AddrPort
+	// MTU is the largest IP packet on the path to balancers, in bytes.
+	MTU int
 	// Slots is the number of requests the backend server runs at once.
 	Slots int
 	// IdleTimeout ends a flow without packets.
--- a/daemon/internal/settings/settings_test.go
+++ b/daemon/internal/settings/settings_test.go
@@ -71,7 +71,7 @@
 		Balancer: Balancer{Packets: addr("127.0.0.1:7001"), Bind: BindWildcard, MTU: 9000, ReceiveBuffer: 4 << 20},
 		Agents: []Agent{{
 			Service: "order-desk", ID: "order-desk-1", Backend: addr("127.0.0.1:8080"),
-			Packets: addr("127.0.0.1:7002"), Requests: addr("127.0.0.1:7003"), Slots: 4, IdleTimeout: 24 * time.Hour,
+			Packets: addr("127.0.0.1:7002"), Requests: addr("127.0.0.1:7003"), MTU: DefaultMTU, Slots: 4, IdleTimeout: 24 * time.Hour,
 		}},
 	})
 }
