No memory limit by default where control runs

Cause: the leases of 140,000 hosts take 90 MB (docs/CAPACITY.md, lease_heap), so the default limit of a daemon would keep the collector busy on control VMs. Measured: the settings tests pass; not run at full size. Conclusion: the limit fits balancers and agents.

--- a/daemon/internal/settings/parse.go
+++ b/daemon/internal/settings/parse.go
@@ -129,6 +129,10 @@
 	if !r.Has("roles") {
 		r.Fail("roles", "a value is required")
 	}
+	if out.Has(RoleControl) && !r.Has("memory_limit") {
+		// Control holds the fleet's leases, which outgrow a daemon's budget.
+		out.MemoryLimit = 0
+	}
 }
 
 func (p *parser) tls(out *Process, r *inifile.Reader) {
