--- a/daemon/internal/node/changes_test.go
+++ b/daemon/internal/node/changes_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
-	"sync"
 	"testing"
 	"time"
 
@@ -161,95 +159,31 @@
 	is.Equal(sheet.Bytes, int64(sheetSize))
 }
 
-// swallowingPath relays datagrams to a target. Once cut, it swallows what
-// belongs to the ports it has seen and goes on relaying for new ones.
-type swallowingPath struct {
-	conn   *net.UDPConn
-	target netip.AddrPort
-
-	mu    sync.Mutex
-	ports map[netip.AddrPort]*net.UDPConn // nil once cut
-}
-
-func startSwallowingPath(t *testing.T, target netip.AddrPort) *swallowingPath {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+// startPath starts a path to a target that is closed with the test.
+func startPath(t testing.TB, o standin.PathOptions) *standin.Path {
+	t.Helper()
+	p, err := standin.StartPath(o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &swallowingPath{conn: conn, target: target, ports: map[netip.AddrPort]*net.UDPConn{}}
-	t.Cleanup(func() {
-		_ = conn.Close()
-		p.cut()
-	})
-	go p.relay()
+	t.Cleanup(func() { _ = p.Close() })
 	return p
 }
 
-func (p *swallowingPath) addr() netip.AddrPort { return p.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
-
-func (p *swallowingPath) cut() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for port, onward := range p.ports {
-		if onward != nil {
-			_ = onward.Close()
-		}
-		p.ports[port] = nil
-	}
-}
-
-func (p *swallowingPath) relay() {
-	buf := make([]byte, 1<<16)
-	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
-		if err != nil {
-			return
-		}
-		if onward := p.onward(from); onward != nil {
-			_, _ = onward.Write(buf[:n])
-		}
-	}
-}
-
-// onward returns the socket that stands for a port towards the target.
-func (p *swallowingPath) onward(from netip.AddrPort) *net.UDPConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if onward, seen := p.ports[from]; seen {
-		return onward
-	}
-	onward, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(p.target))
-	if err != nil {
-		return nil
-	}
-	p.ports[from] = onward
-	go func() {
-		buf := make([]byte, 1<<16)
-		for {
-			n, err := onward.Read(buf)
-			if err != nil {
-				return
-			}
-			_, _ = p.conn.WriteToUDPAddrPort(buf[:n], from)
-		}
-	}()
-	return onward
-}
-
 // TestSilentConnectionToControlCostsNoLease cuts the agents' connections to
 // control while new ones work.
 func TestSilentConnectionToControlCostsNoLease(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, proto.Service{ID: 1, Name: "floor", Mode: proto.ModePacket, Addresses: []netip.AddrPort{floorAddr}})
-	path := startSwallowingPath(t, f.control.Addr())
+	path := startPath(t, standin.PathOptions{Target: f.control.Addr()})
 	echo, err := standin.StartEcho(standin.EchoOptions{Name: "bench"})
 	is.NoErr(err)
 	defer echo.Close()
 	b := f.balancer("balancer-1")
-	f.via = path.addr()
+	f.via = path.Addr()
 	a := f.agent("floor", echo.Addr())
 	waitForMembers(t, b, b, 1)
-	path.cut()
+	path.Forget()
 	for a.Counters().(agent.Counters).Silent == 0 {
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -35,7 +35,7 @@
 
 // testFleet is a whole fleet within the test's process.
 type testFleet struct {
-	t       *testing.T
+	t       testing.TB
 	set     *keys.Set
 	bind    settings.Bind
 	control *control.Control
@@ -47,7 +47,7 @@
 func (f *testFleet) now() time.Time { return time.Now().Add(time.Duration(f.ahead.Load())) }
 
 // newEmptyFleet returns a fleet without processes.
-func newEmptyFleet(t *testing.T) *testFleet {
+func newEmptyFleet(t testing.TB) *testFleet {
 	t.Helper()
 	set, err := keys.Ephemeral(time.Now())
 	if err != nil {
@@ -56,7 +56,7 @@
 	return &testFleet{t: t, set: set}
 }
 
-func newFleet(t *testing.T, services ...proto.Service) *testFleet {
+func newFleet(t testing.TB, services ...proto.Service) *testFleet {
 	t.Helper()
 	f := newEmptyFleet(t)
 	running, err := startControl(f.options("control", settings.Process{
@@ -125,7 +125,7 @@
 }
 
 // settle sends messages of a session until one is answered.
-func settle(t *testing.T, target netip.AddrPort) {
+func settle(t testing.TB, target netip.AddrPort) {
 	t.Helper()
 	probe, err := standin.StartSession(standin.SessionOptions{ID: 1, Targets: []netip.AddrPort{target}})
 	if err != nil {
@@ -194,7 +194,7 @@
 	is.True(second.Stats().Forwarded.Load() > 0)
 }
 
-func waitForMembers(t *testing.T, first, second *balancer.Balancer, want int) {
+func waitForMembers(t testing.TB, first, second *balancer.Balancer, want int) {
 	t.Helper()
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		if first.Available(1) == want && second.Available(1) == want {
--- a/daemon/internal/peer/peer_test.go
+++ b/daemon/internal/peer/peer_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net"
 	"net/netip"
-	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/standin"
 )
 
 const (
@@ -166,106 +165,25 @@
 	})
 }
 
-// middlebox relays datagrams between clients and one server, and can lose track
-// of the clients it knows while it serves new ones.
-type middlebox struct {
-	front  *net.UDPConn
-	server *net.UDPAddr
-
-	mu    sync.Mutex
-	paths map[netip.AddrPort]*path
-}
-
-type path struct {
-	conn *net.UDPConn
-	lost bool
-}
-
-func startMiddlebox(t *testing.T, server netip.AddrPort) *middlebox {
-	t.Helper()
-	front, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	m := &middlebox{front: front, server: net.UDPAddrFromAddrPort(server), paths: make(map[netip.AddrPort]*path)}
-	go m.run()
-	t.Cleanup(func() { _ = front.Close() })
-	return m
-}
-
-func (m *middlebox) addr() netip.AddrPort { return m.front.LocalAddr().(*net.UDPAddr).AddrPort() }
-
-func (m *middlebox) run() {
-	buf := make([]byte, 1<<16)
-	for {
-		n, from, err := m.front.ReadFromUDPAddrPort(buf)
-		if err != nil {
-			return
-		}
-		if p := m.path(from); p != nil {
-			_, _ = p.conn.Write(buf[:n])
-		}
-	}
-}
-
-// path returns the way of a client, or nil where the client was forgotten.
-func (m *middlebox) path(from netip.AddrPort) *path {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p := m.paths[from]
-	if p == nil {
-		conn, err := net.DialUDP("udp4", nil, m.server)
-		if err != nil {
-			return nil
-		}
-		p = &path{conn: conn}
-		m.paths[from] = p
-		go m.back(p, from)
-	}
-	if p.lost {
-		return nil
-	}
-	return p
-}
-
-func (m *middlebox) back(p *path, to netip.AddrPort) {
-	buf := make([]byte, 1<<16)
-	for {
-		n, err := p.conn.Read(buf)
-		if err != nil {
-			return
-		}
-		_, _ = m.front.WriteToUDPAddrPort(buf[:n], to)
-	}
-}
-
-// forget swallows everything of the clients known so far, both ways.
-func (m *middlebox) forget() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.paths {
-		p.lost = true
-		_ = p.conn.Close()
-	}
-}
-
 func TestSilentConnectionIsReplacedFromANewPort(t *testing.T) {
 	const silence = 500 * time.Millisecond
 	is := is.New(t)
 	set := newSet(t)
 	server := serve(t, set, silence)
-	box := startMiddlebox(t, server.Addr())
+	box, err := standin.StartPath(standin.PathOptions{Target: server.Addr()})
+	is.NoErr(err)
+	defer box.Close()
 	p := pool(t, identity(t, set, "host-1", keys.Agent))
 	p.SetSilence(silence)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 
-	held, err := p.Open(ctx, box.addr(), echoKind)
+	held, err := p.Open(ctx, box.Addr(), echoKind)
 	is.NoErr(err)
 	var answer note
 	is.NoErr(held.Send(note{Text: "before"}))
 	is.NoErr(held.Recv(&answer))
-	box.forget()
+	box.Forget()
 
 	// The held stream ends with an error, not in silence.
 	_ = held.Send(note{Text: "into silence"})
@@ -273,13 +191,13 @@
 	var idle *quic.IdleTimeoutError
 	is.True(errors.As(err, &idle))
 
-	answer, err = exchange(ctx, p, box.addr())
+	answer, err = exchange(ctx, p, box.Addr())
 	is.NoErr(err)
 	is.Equal(answer.Text, "hello")
 
 	// A caller that can't wait for the silence asks for a fresh connection.
-	box.forget()
-	fresh, err := p.OpenFresh(ctx, box.addr(), echoKind)
+	box.Forget()
+	fresh, err := p.OpenFresh(ctx, box.Addr(), echoKind)
 	is.NoErr(err)
 	is.NoErr(fresh.Send(note{Text: "fresh"}))
 	is.NoErr(fresh.Recv(&answer))
