--- a/daemon/internal/node/node_test.go
+++ b/daemon/internal/node/node_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -34,7 +35,7 @@
 
 // testFleet is a whole fleet within the test's process.
 type testFleet struct {
-	t       *testing.T
+	t       testing.TB
 	set     *keys.Set
 	bind    settings.Bind
 	control *control.Control
@@ -46,7 +47,7 @@
 func (f *testFleet) now() time.Time { return time.Now().Add(time.Duration(f.ahead.Load())) }
 
 // newEmptyFleet returns a fleet without processes.
-func newEmptyFleet(t *testing.T) *testFleet {
+func newEmptyFleet(t testing.TB) *testFleet {
 	t.Helper()
 	set, err := keys.Ephemeral(time.Now())
 	if err != nil {
@@ -55,7 +56,7 @@
 	return &testFleet{t: t, set: set}
 }
 
-func newFleet(t *testing.T, services ...proto.Service) *testFleet {
+func newFleet(t testing.TB, services ...proto.Service) *testFleet {
 	t.Helper()
 	f := newEmptyFleet(t)
 	running, err := startControl(f.options("control", settings.Process{
@@ -112,6 +113,7 @@
 		Backend:     backend,
 		Packets:     netip.MustParseAddrPort("127.0.0.1:0"),
 		Requests:    netip.MustParseAddrPort("127.0.0.1:0"),
+		MTU:         settings.DefaultMTU,
 		Slots:       4,
 		IdleTimeout: time.Hour,
 	})
@@ -123,7 +125,7 @@
 }
 
 // settle sends messages of a session until one is answered.
-func settle(t *testing.T, target netip.AddrPort) {
+func settle(t testing.TB, target netip.AddrPort) {
 	t.Helper()
 	probe, err := standin.StartSession(standin.SessionOptions{ID: 1, Targets: []netip.AddrPort{target}})
 	if err != nil {
@@ -192,7 +194,7 @@
 	is.True(second.Stats().Forwarded.Load() > 0)
 }
 
-func waitForMembers(t *testing.T, first, second *balancer.Balancer, want int) {
+func waitForMembers(t testing.TB, first, second *balancer.Balancer, want int) {
 	t.Helper()
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		if first.Available(1) == want && second.Available(1) == want {
@@ -406,6 +408,39 @@
 	is.NoErr(response.Body.Close())
 }
 
+func TestReplyBeyondThePathIsDroppedAndCounted(t *testing.T) {
+	is := is.New(t)
+	backend, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	defer backend.Close()
+	go func() {
+		buf := make([]byte, 64)
+		for {
+			_, from, err := backend.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			_, _ = backend.WriteToUDPAddrPort(make([]byte, 1400), from)
+			_, _ = backend.WriteToUDPAddrPort(make([]byte, 1200), from)
+		}
+	}()
+	f := newFleet(t, proto.Service{ID: 1, Name: "floor", Mode: proto.ModePacket, Addresses: []netip.AddrPort{floorAddr}})
+	a := f.agent("floor", backend.LocalAddr().(*net.UDPAddr).AddrPort())
+	b := f.balancer("balancer-1")
+	waitForMembers(t, b, b, 1)
+
+	caller, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(floorAddr))
+	is.NoErr(err)
+	defer caller.Close()
+	is.NoErr(caller.SetReadDeadline(time.Now().Add(patience)))
+	_, err = caller.Write([]byte("ask"))
+	is.NoErr(err)
+	n, err := caller.Read(make([]byte, 2000))
+	is.NoErr(err)
+	is.Equal(n, 1200)
+	is.Equal(a.Counters().(agent.Counters).Oversize, uint64(1))
+}
+
 // expired returns a context that has ended, for stops that wait for nothing.
 func expired() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
