Adopt a changed view without touching the other services

Cause: a balancer rebuilt the bindings of all services, and offered all views to the gateway, for every update, though most change one view. The capacity figures had measured the parts below and not this. Change: updates without services set their own views alone. TestViewChangeCostsTheSameInALargerFleet fails where the whole is looked at. Restart and change tests pass with the race detector. Conclusion: a change costs what it changes.

--- a/daemon/internal/role/balancer/balancer.go
+++ b/daemon/internal/role/balancer/balancer.go
@@ -197,18 +197,30 @@
 	return err
 }
 
-// adopt puts an update in force.
+// adopt puts an update in force and opens what it asks for.
 func (b *Balancer) adopt(u proto.Update) {
 	b.retire(&u)
-	services := b.table.adopt(u)
-	b.forwarder.adopt(services, u.Views)
-	changed := len(u.Services) > 0 || len(u.Removed) > 0
-	b.adoptRequests(services, changed)
-	if changed {
-		b.reconcile(services)
+	if b.putInForce(u) {
+		b.reconcile(b.table.serving())
 	}
 }
 
+// putInForce reports whether services have changed. Most updates change views
+// alone, so only the others look at all services and views.
+func (b *Balancer) putInForce(u proto.Update) bool {
+	b.table.adopt(u)
+	if len(u.Services) == 0 && len(u.Removed) == 0 {
+		b.forwarder.setViews(u.Views)
+		b.setRequestViews(u.Views)
+		return false
+	}
+	services := b.table.serving()
+	b.forwarder.adopt(services, u.Views)
+	b.setRequestServices(services)
+	b.setRequestViews(b.table.snapshot())
+	return true
+}
+
 // reconcile opens and closes listeners so that they match the services.
 func (b *Balancer) reconcile(services []proto.Service) {
 	want := make(map[listenKey]bool)
--- a/daemon/internal/role/balancer/bench_test.go
+++ b/daemon/internal/role/balancer/bench_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/flow"
@@ -23,7 +25,7 @@
 
 func (k *benchKeys) Active() (uint8, []byte)     { return 1, k.secret[:] }
 func (k *benchKeys) Secret(uint8) ([]byte, bool) { return k.secret[:], true }
-func listenLoopback(b *testing.B) *udp.Conn {
+func listenLoopback(b testing.TB) *udp.Conn {
 	b.Helper()
 	conn, err := udp.Listen(udp.Options{Addr: netip.MustParseAddrPort("127.0.0.1:0"), ReadBuffer: 4 << 20})
 	if err != nil {
@@ -35,7 +37,7 @@
 
 // newBench returns a balancer that knows one service of 7 backend servers, all
 // of which share one sink.
-func newBench(b *testing.B, service, sink *udp.Conn) *Balancer {
+func newBench(b testing.TB, service, sink *udp.Conn) *Balancer {
 	b.Helper()
 	var members []view.BackendServer
 	for i := range 7 {
@@ -57,7 +59,8 @@
 		Services: []proto.Service{{ID: 1, Name: "bench", Mode: proto.ModePacket, Addresses: []netip.AddrPort{service.Addr()}}},
 		Views:    []*view.View{view.New(1, view.Version{Epoch: 1, Number: 1}, members)},
 	}
-	lb.forwarder.adopt(lb.table.adopt(update), update.Views)
+	lb.table.adopt(update)
+	lb.forwarder.adopt(lb.table.serving(), update.Views)
 	return lb
 }
 
@@ -116,3 +119,52 @@
 	}
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "packets/s")
 }
+
+// newFleet returns a balancer that knows a number of services with 7 backend
+// servers each, and a function that changes the view of one of them.
+func newFleet(b testing.TB, services int) (change func()) {
+	b.Helper()
+	lb := newBench(b, listenLoopback(b), listenLoopback(b))
+	lb.options.Now = time.Now
+	lb.gateway = lb.newGateway()
+	b.Cleanup(lb.gateway.Close)
+	lb.paused = true // opens no service sockets
+	members := make([]view.BackendServer, 7)
+	for i := range members {
+		members[i] = view.BackendServer{ID: fmt.Sprintf("host-%d", i), State: view.Ready, Weight: view.FullWeight}
+	}
+	var all proto.Update
+	for i := range services {
+		id := view.ServiceID(i + 2)
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 80)
+		all.Services = append(all.Services, proto.Service{
+			ID: id, Name: fmt.Sprintf("service-%d", i), Mode: proto.ModePacket, Addresses: []netip.AddrPort{addr},
+		})
+		all.Views = append(all.Views, view.New(id, view.Version{Epoch: 1, Number: 1}, slices.Clone(members)))
+	}
+	lb.adopt(all)
+	number := uint64(1)
+	return func() {
+		number++
+		v := view.New(2, view.Version{Epoch: 1, Number: number}, slices.Clone(members))
+		lb.adopt(proto.Update{Views: []*view.View{v}})
+	}
+}
+
+// TestViewChangeCostsTheSameInALargerFleet holds the work of a change of one
+// view independent of the other services.
+func TestViewChangeCostsTheSameInALargerFleet(t *testing.T) {
+	is := is.New(t)
+	const changes = 100
+	is.Equal(testing.AllocsPerRun(changes, newFleet(t, 2000)), testing.AllocsPerRun(changes, newFleet(t, 2)))
+}
+
+// BenchmarkAdopt measures the adoption of one changed view by a balancer that
+// knows the services of a whole fleet.
+func BenchmarkAdopt(b *testing.B) {
+	change := newFleet(b, 19_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		change()
+	}
+}
--- a/daemon/internal/role/balancer/forwarder.go
+++ b/daemon/internal/role/balancer/forwarder.go
@@ -44,11 +44,16 @@
 		}
 	}
 	f.SetBindings(f.bindings, bindings)
+	f.setViews(views)
+	f.Forget(func(id view.ServiceID) bool { return ids[id] || !f.ids[id] })
+	f.ids = ids
+}
+
+// setViews puts new views in force.
+func (f *forwarder) setViews(views []*view.View) {
 	for _, v := range views {
 		f.SetView(f.now().Sub(f.started), v)
 	}
-	f.Forget(func(id view.ServiceID) bool { return ids[id] || !f.ids[id] })
-	f.ids = ids
 }
 
 // run ends the windows of earlier views until ctx ends.
--- a/daemon/internal/role/balancer/handover.go
+++ b/daemon/internal/role/balancer/handover.go
@@ -49,7 +49,7 @@
 
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state, err := cbor.Marshal(b.table.update())
+	state, err := cbor.Marshal(proto.Update{Services: b.table.serving(), Views: b.table.snapshot()})
 	if err != nil {
 		return nil, handover.Failed.Wrap(err, "encode the state of balancer %q", b.options.Name)
 	}
@@ -78,7 +78,7 @@
 // Resume implements handover.Predecessor.
 func (b *Balancer) Resume() {
 	b.run()
-	b.reconcile(b.table.update().Services)
+	b.reconcile(b.table.serving())
 }
 
 // run starts to read from every socket.
@@ -165,9 +165,7 @@
 	for _, v := range u.Views {
 		v.Prepare()
 	}
-	services := b.table.adopt(u)
-	b.forwarder.adopt(services, u.Views)
-	b.adoptRequests(services, true)
+	b.putInForce(u)
 	b.inherited = u.Services
 }
 
--- a/daemon/internal/role/balancer/requests.go
+++ b/daemon/internal/role/balancer/requests.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 
+	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/gateway"
 	"fulmarmount.org/daemon/internal/proto"
 	"fulmarmount.org/daemon/internal/splice"
@@ -23,18 +24,21 @@
 	})
 }
 
-// adoptRequests tells the gateway of changed services and views.
-func (b *Balancer) adoptRequests(services []proto.Service, changed bool) {
-	if changed {
-		var in []gateway.Service
-		for _, s := range services {
-			if s.Mode == proto.ModeRequest {
-				in = append(in, gateway.Service{ID: s.ID, Name: s.Name, Policy: gateway.PolicyFor(s)})
-			}
+// setRequestServices tells the gateway of all services in request mode.
+func (b *Balancer) setRequestServices(services []proto.Service) {
+	var in []gateway.Service
+	for _, s := range services {
+		if s.Mode == proto.ModeRequest {
+			in = append(in, gateway.Service{ID: s.ID, Name: s.Name, Policy: gateway.PolicyFor(s)})
 		}
-		b.gateway.SetServices(in)
 	}
-	for _, v := range b.table.snapshot() {
+	b.gateway.SetServices(in)
+}
+
+// setRequestViews tells the gateway of views; it passes over those of services
+// that it does not serve, and those that are not newer.
+func (b *Balancer) setRequestViews(views []*view.View) {
+	for _, v := range views {
 		b.gateway.SetView(v)
 	}
 }
--- a/daemon/internal/role/balancer/table.go
+++ b/daemon/internal/role/balancer/table.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// adopt puts an update in force and returns the services that exist then.
-func (t *table) adopt(u proto.Update) []proto.Service {
+// adopt puts an update in force.
+func (t *table) adopt(u proto.Update) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, name := range u.Removed {
@@ -53,6 +53,12 @@
 			t.views[v.Service] = v
 		}
 	}
+}
+
+// serving returns the services in force.
+func (t *table) serving() []proto.Service {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
 	return slices.Collect(maps.Values(t.services))
 }
 
@@ -133,13 +139,3 @@
 	}
 	return n
 }
-
-// update returns what is in force, for a successor to adopt.
-func (t *table) update() proto.Update {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	return proto.Update{
-		Services: slices.Collect(maps.Values(t.services)),
-		Views:    slices.Collect(maps.Values(t.views)),
-	}
-}
