Serve the claims' one-message streams by one function

Cause: hold, lookup and history each received, locked, decided and answered by the same lines. Change: serveOne. Measured: go test -race ./daemon/internal/gateway passes. Conclusion: behaviour as before.

--- a/daemon/internal/gateway/claims.go
+++ b/daemon/internal/gateway/claims.go
@@ -166,38 +166,27 @@
 	}
 }
 
-func (c *claims) serveHold(_ context.Context, s *peer.Stream) {
-	var in attempt.HoldRequest
+// serveOne answers the one message of a stream by a decision of the core.
+func serveOne[In, Out any](c *claims, s *peer.Stream, decide func(time.Time, In) Out) {
+	var in In
 	if err := s.Recv(&in); err != nil {
 		s.Abort()
 		return
 	}
 	c.mu.Lock()
-	reply := c.core.Hold(c.o.Now(), in)
+	reply := decide(c.o.Now(), in)
 	c.mu.Unlock()
 	_ = s.Send(reply)
 }
 
+func (c *claims) serveHold(_ context.Context, s *peer.Stream) {
+	serveOne(c, s, c.core.Hold)
+}
+
 func (c *claims) serveLookup(_ context.Context, s *peer.Stream) {
-	var in attempt.LookupRequest
-	if err := s.Recv(&in); err != nil {
-		s.Abort()
-		return
-	}
-	c.mu.Lock()
-	reply := c.core.Lookup(c.o.Now(), in)
-	c.mu.Unlock()
-	_ = s.Send(reply)
+	serveOne(c, s, c.core.Lookup)
 }
 
 func (c *claims) serveHistory(_ context.Context, s *peer.Stream) {
-	var in historyRequest
-	if err := s.Recv(&in); err != nil {
-		s.Abort()
-		return
-	}
-	c.mu.Lock()
-	h := c.core.History(c.o.Now())
-	c.mu.Unlock()
-	_ = s.Send(h)
+	serveOne(c, s, func(now time.Time, _ historyRequest) attempt.History { return c.core.History(now) })
 }
