--- a/daemon/internal/embedded/embedded.go
+++ b/daemon/internal/embedded/embedded.go
@@ -15,9 +15,9 @@
 	"github.com/google/uuid"
 
 	"fulmarmount.org/core/fleet"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/settings"
 	"fulmarmount.org/daemon/internal/standin"
-	"fulmarmount.org/daemon/internal/subscribe"
 )
 
 // The addresses of the embedded services.
@@ -145,11 +145,11 @@
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
-				subscribe.Sleep(ctx, recordTime)
+				pace.Sleep(ctx, recordTime)
 				return
 			}
 		}
-		subscribe.Sleep(ctx, answerInterval)
+		pace.Sleep(ctx, answerInterval)
 	}
 }
 
--- a/daemon/internal/gateway/agent.go
+++ b/daemon/internal/gateway/agent.go
@@ -17,6 +17,7 @@
 	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/peer"
 )
 
@@ -225,19 +226,12 @@
 }
 
 func (a *Agent) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pace.Every(ctx, tickInterval, func() {
 		g, _ := a.admission(0)
 		g.setSlots(a.ramp().Slots(a.o.Now(), a.o.Slots))
 		g.tick()
 		a.claims.tick()
-	}
+	})
 }
 
 // serveRequest decides on one attempt and runs it.
--- a/daemon/internal/gateway/gateway.go
+++ b/daemon/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"fulmarmount.org/core/admission"
 	"fulmarmount.org/core/attempt"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/peer"
 )
 
@@ -235,21 +236,14 @@
 
 // tick sheds what waited too long and probes ejected hosts.
 func (g *Gateway) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pace.Every(ctx, tickInterval, func() {
 		g.currentGate().tick()
 		g.mu.RLock()
 		for _, s := range g.services {
 			g.probe(ctx, s)
 		}
 		g.mu.RUnlock()
-	}
+	})
 }
 
 func (g *Gateway) probe(ctx context.Context, s *service) {
--- a/daemon/internal/group/members.go
+++ b/daemon/internal/group/members.go
@@ -11,6 +11,7 @@
 
 	"fulmarmount.org/core/quorum"
 	"fulmarmount.org/daemon/internal/admin"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/replica"
 )
 
@@ -102,16 +103,7 @@
 
 // promoteLearners lets learners vote once they have caught up.
 func (g *Group) promoteLearners(ctx context.Context) {
-	ticker := time.NewTicker(promoteInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.promote(ctx)
-		}
-	}
+	pace.Every(ctx, promoteInterval, func() { g.promote(ctx) })
 }
 
 func (g *Group) promote(ctx context.Context) {
--- a/daemon/internal/role/agent/agent.go
+++ b/daemon/internal/role/agent/agent.go
@@ -17,6 +17,7 @@
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/gateway"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/packet"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
@@ -170,9 +171,9 @@
 	select {
 	case <-ctx.Done():
 	case <-a.left:
-		subscribe.Sleep(ctx, settleTime)
+		pace.Sleep(ctx, settleTime)
 	}
-	for a.busy() && subscribe.Sleep(ctx, idleCheck) {
+	for a.busy() && pace.Sleep(ctx, idleCheck) {
 	}
 	if a.busy() {
 		a.options.Log.Warn("Stopped before all work was done.",
--- a/daemon/internal/role/agent/announce.go
+++ b/daemon/internal/role/agent/announce.go
@@ -10,9 +10,9 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/subscribe"
 )
 
 const (
@@ -42,7 +42,7 @@
 		if err != nil && ctx.Err() == nil {
 			a.options.Log.Warn("Lost the lease's connection.", zap.Stringer("control", control), zap.Error(err))
 		}
-		subscribe.Sleep(ctx, subscribe.Jitter(renewInterval))
+		pace.Sleep(ctx, pace.Jitter(renewInterval))
 	}
 }
 
@@ -78,7 +78,7 @@
 		if !reply.Accepted {
 			a.options.Log.Warn("Control refused the announcement.", zap.String("reason", reply.Reason))
 		}
-		if !subscribe.Sleep(ctx, subscribe.Jitter(interval(reply.Lease))) {
+		if !pace.Sleep(ctx, pace.Jitter(interval(reply.Lease))) {
 			return nil
 		}
 	}
--- a/daemon/internal/role/agent/packets.go
+++ b/daemon/internal/role/agent/packets.go
@@ -10,6 +10,7 @@
 
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/packet"
 )
 
@@ -168,16 +169,9 @@
 
 // sweep ends idle flows, and those that a drain left too long, until ctx ends.
 func (a *Agent) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			now := a.options.Now()
-			a.flows.expire(a.limits.expired(now), a.owner.flows.End)
-			a.paths.Expire(now)
-		}
-	}
+	pace.Every(ctx, sweepInterval, func() {
+		now := a.options.Now()
+		a.flows.expire(a.limits.expired(now), a.owner.flows.End)
+		a.paths.Expire(now)
+	})
 }
--- a/daemon/internal/role/agent/pointers.go
+++ b/daemon/internal/role/agent/pointers.go
@@ -9,6 +9,7 @@
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/locator"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/packet"
 )
 
@@ -24,19 +25,14 @@
 
 // push sends pointers that are due until ctx ends.
 func (a *Agent) push(ctx context.Context) {
-	ticker := time.NewTicker(pushInterval)
-	defer ticker.Stop()
-	for turn := 0; ; turn++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, m := range a.owner.pusher.Tick(a.owner.elapsed()) {
-				a.sendOwnership(m.To, ownership{Batch: &m.Batch})
-			}
-			a.owner.flows.Sweep(a.owner.elapsed(), turn)
+	turn := 0
+	pace.Every(ctx, pushInterval, func() {
+		for _, m := range a.owner.pusher.Tick(a.owner.elapsed()) {
+			a.sendOwnership(m.To, ownership{Batch: &m.Batch})
 		}
-	}
+		a.owner.flows.Sweep(a.owner.elapsed(), turn)
+		turn++
+	})
 }
 
 func (a *Agent) sendOwnership(to flow.Peer, o ownership) {
--- a/daemon/internal/role/balancer/forwarder.go
+++ b/daemon/internal/role/balancer/forwarder.go
@@ -6,6 +6,7 @@
 
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/proto"
 )
 
@@ -58,14 +59,5 @@
 
 // run ends the windows of earlier views until ctx ends.
 func (f *forwarder) run(ctx context.Context) {
-	ticker := time.NewTicker(historyInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			f.Tick(f.now().Sub(f.started))
-		}
-	}
+	pace.Every(ctx, historyInterval, func() { f.Tick(f.now().Sub(f.started)) })
 }
--- a/daemon/internal/role/control/configuration.go
+++ b/daemon/internal/role/control/configuration.go
@@ -10,8 +10,8 @@
 	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/subscribe"
 )
 
 // Fleet is the replicated state of the fleet.
@@ -59,7 +59,7 @@
 func (c *term) follow(ctx context.Context) {
 	for c.options.Fleet.Read(ctx, c.adopt) != nil {
 		c.options.Log.Warn("Waits for the replicas.")
-		if !subscribe.Sleep(ctx, subscribe.Jitter(followDelay)) {
+		if !pace.Sleep(ctx, pace.Jitter(followDelay)) {
 			return
 		}
 	}
--- a/daemon/internal/role/control/term.go
+++ b/daemon/internal/role/control/term.go
@@ -12,6 +12,7 @@
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
 	"fulmarmount.org/daemon/internal/subscribe"
@@ -131,16 +132,7 @@
 
 // run publishes the registry's views until ctx ends.
 func (c *term) run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.tick()
-		}
-	}
+	pace.Every(ctx, tickInterval, c.tick)
 }
 
 func (c *term) tick() {
--- a/daemon/internal/subscribe/publisher.go
+++ b/daemon/internal/subscribe/publisher.go
@@ -11,6 +11,7 @@
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/peer"
 )
 
@@ -122,18 +123,11 @@
 	if p.options.Confirm != nil {
 		go p.confirm(ctx)
 	}
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.mu.Lock()
-			p.deliver(p.root.Tick(p.now()))
-			p.mu.Unlock()
-		}
-	}
+	pace.Every(ctx, tickInterval, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.deliver(p.root.Tick(p.now()))
+	})
 }
 
 // confirm has a majority confirm the publisher, over and over.
@@ -145,7 +139,7 @@
 			p.root.Confirm(began)
 			p.mu.Unlock()
 		}
-		if !Sleep(ctx, confirmInterval) {
+		if !pace.Sleep(ctx, confirmInterval) {
 			return
 		}
 	}
--- a/daemon/internal/subscribe/subscribe.go
+++ b/daemon/internal/subscribe/subscribe.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/spread"
+	"fulmarmount.org/daemon/internal/pace"
 	"fulmarmount.org/daemon/internal/peer"
 	"fulmarmount.org/daemon/internal/proto"
 )
@@ -76,7 +77,7 @@
 		if heard {
 			backoff.Succeeded()
 		}
-		if !Sleep(ctx, backoff.Next(retryAfter)) {
+		if !pace.Sleep(ctx, backoff.Next(retryAfter)) {
 			return
 		}
 	}
@@ -197,20 +198,3 @@
 	s.asOf = asOf
 	s.options.Confirmed(s.started.Add(asOf))
 }
-
-// Jitter draws a delay between half of d and d.
-func Jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d/2+1)
-}
-
-// Sleep waits for d and reports whether ctx has not ended.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
