Move the daemons' module to the root

Cause: the adapter for the users' platform lives in platform/ at the root, and Go hides daemon/internal from it. Change: daemon/{cmd,internal,tools} become cmd/, internal/ and tools/; core/ stays a module of its own for embedders. Conclusion: no behaviour changes.

--- a/daemon/cmd/fulmarctl/main.go
+++ b/cmd/fulmarctl/main.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/uuid"
 
-	"fulmarmount.org/daemon/internal/ctl"
+	"fulmarmount.org/fulmarmount/internal/ctl"
 )
 
 func main() {
--- a/daemon/cmd/fulmard/main.go
+++ b/cmd/fulmard/main.go
@@ -14,7 +14,7 @@
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
-	"fulmarmount.org/daemon/internal/run"
+	"fulmarmount.org/fulmarmount/internal/run"
 )
 
 func main() {
--- a/daemon/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -18,8 +18,8 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/fleetstore"
-	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/fleetstore"
+	"fulmarmount.org/fulmarmount/internal/keys"
 )
 
 func options(t *testing.T) Options {
--- a/daemon/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -18,7 +18,7 @@
 	"github.com/joomcode/errorx"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/keys"
 )
 
 // retryDelay is the pause before unavailable processes are asked again.
--- a/daemon/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -13,7 +13,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/keys"
 )
 
 // maxMissing bounds the daemons named by one answer.
--- a/daemon/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -13,7 +13,7 @@
 
 	"go.uber.org/zap"
 
-	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/keys"
 )
 
 // Limits of connections.
--- a/daemon/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -6,10 +6,10 @@
 
 	"github.com/peterbourgon/ff/v4"
 
-	"fulmarmount.org/daemon/internal/finding"
-	"fulmarmount.org/daemon/internal/fleetfile"
-	"fulmarmount.org/daemon/internal/inifile"
-	"fulmarmount.org/daemon/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/finding"
+	"fulmarmount.org/fulmarmount/internal/fleetfile"
+	"fulmarmount.org/fulmarmount/internal/inifile"
+	"fulmarmount.org/fulmarmount/internal/settings"
 )
 
 func (a *app) checkCommand() *ff.Command {
--- a/daemon/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -11,8 +11,8 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/fleetfile"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/fleetfile"
 )
 
 // change holds the flags of commands that change the configuration.
--- a/daemon/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -14,9 +14,9 @@
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/finding"
-	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/finding"
+	"fulmarmount.org/fulmarmount/internal/keys"
 )
 
 // Exit codes.
--- a/daemon/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -18,9 +18,9 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/fleetstore"
-	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/fleetstore"
+	"fulmarmount.org/fulmarmount/internal/keys"
 )
 
 var now = time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
--- a/daemon/internal/ctl/examples_test.go
+++ b/internal/ctl/examples_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/matryer/is"
 
-	"fulmarmount.org/daemon/internal/fleetfile"
-	"fulmarmount.org/daemon/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/fleetfile"
+	"fulmarmount.org/fulmarmount/internal/settings"
 )
 
 // example is what a folder of examples has to hold.
@@ -35,7 +35,7 @@
 func checkExample(t *testing.T, want example) {
 	is := is.New(t)
 	dir := t.TempDir()
-	is.NoErr(os.CopyFS(dir, os.DirFS(filepath.Join("..", "..", "..", "examples", want.folder))))
+	is.NoErr(os.CopyFS(dir, os.DirFS(filepath.Join("..", "..", "examples", want.folder))))
 	run := func(args ...string) {
 		t.Helper()
 		var out bytes.Buffer
--- a/daemon/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -11,7 +11,7 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/keys"
 )
 
 const (
--- a/daemon/internal/ctl/operate.go
+++ b/internal/ctl/operate.go
@@ -12,7 +12,7 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/admin"
 )
 
 func (a *app) drainCommand() *ff.Command {
--- a/daemon/internal/ctl/recover.go
+++ b/internal/ctl/recover.go
@@ -8,9 +8,9 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/disk"
-	"fulmarmount.org/daemon/internal/group"
-	"fulmarmount.org/daemon/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/disk"
+	"fulmarmount.org/fulmarmount/internal/group"
+	"fulmarmount.org/fulmarmount/internal/settings"
 )
 
 func (a *app) recoverCommand() *ff.Command {
--- a/daemon/internal/ctl/recover_test.go
+++ b/internal/ctl/recover_test.go
@@ -12,9 +12,9 @@
 	"github.com/matryer/is"
 
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/disk"
-	"fulmarmount.org/daemon/internal/group"
-	"fulmarmount.org/daemon/internal/replica"
+	"fulmarmount.org/fulmarmount/internal/disk"
+	"fulmarmount.org/fulmarmount/internal/group"
+	"fulmarmount.org/fulmarmount/internal/replica"
 )
 
 func TestRecoverMakesAClusterOfOne(t *testing.T) {
--- a/daemon/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"fulmarmount.org/daemon/internal/standin"
+	"fulmarmount.org/fulmarmount/internal/standin"
 )
 
 // sheetBytes is the length of a large download.
--- a/daemon/internal/e2e/examples_test.go
+++ b/internal/e2e/examples_test.go
@@ -17,10 +17,10 @@
 	"github.com/matryer/is"
 
 	corefleet "fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/fleetfile"
-	"fulmarmount.org/daemon/internal/settings"
-	"fulmarmount.org/daemon/internal/standin"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/fleetfile"
+	"fulmarmount.org/fulmarmount/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/standin"
 )
 
 // TestExamplesRun starts every process of the examples as their README says,
@@ -36,7 +36,7 @@
 	bin, err := binaries()
 	is.NoErr(err)
 	dir := t.TempDir()
-	is.NoErr(os.CopyFS(dir, os.DirFS(filepath.Join("..", "..", "..", "examples", folder))))
+	is.NoErr(os.CopyFS(dir, os.DirFS(filepath.Join("..", "..", "examples", folder))))
 	is.NoErr(os.Mkdir(filepath.Join(dir, "run"), 0o700))
 	document, err := fleetfile.Load(filepath.Join(dir, "fleet.ini"))
 	is.NoErr(err)
--- a/daemon/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/keys"
 )
 
 // patience bounds a wait for the fleet to settle; it decides nothing where the
@@ -30,7 +30,7 @@
 	if err != nil {
 		return "", err
 	}
-	out, err := exec.Command("go", "build", "-o", folder, "fulmarmount.org/daemon/cmd/...").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", folder, "fulmarmount.org/fulmarmount/cmd/...").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build: %w: %s", err, out)
 	}
--- a/daemon/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -15,9 +15,9 @@
 	"github.com/google/uuid"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/settings"
-	"fulmarmount.org/daemon/internal/standin"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/standin"
 )
 
 // The addresses of the embedded services.
--- a/daemon/internal/fleetfile/diff.go
+++ b/internal/fleetfile/diff.go
@@ -2,8 +2,8 @@
 
 import (
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/finding"
-	"fulmarmount.org/daemon/internal/inifile"
+	"fulmarmount.org/fulmarmount/internal/finding"
+	"fulmarmount.org/fulmarmount/internal/inifile"
 )
 
 // Diff returns the keys that differ between two documents as lines of the
--- a/daemon/internal/fleetfile/fleetfile.go
+++ b/internal/fleetfile/fleetfile.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/finding"
-	"fulmarmount.org/daemon/internal/inifile"
+	"fulmarmount.org/fulmarmount/internal/finding"
+	"fulmarmount.org/fulmarmount/internal/inifile"
 )
 
 // Load reads and checks the file at path. The error carries every finding.
--- a/daemon/internal/fleetfile/fleetfile_test.go
+++ b/internal/fleetfile/fleetfile_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/finding"
+	"fulmarmount.org/fulmarmount/internal/finding"
 )
 
 const whole = `[defaults]
--- a/daemon/internal/gateway/agent.go
+++ b/internal/gateway/agent.go
@@ -16,9 +16,9 @@
 	"fulmarmount.org/core/attempt"
 	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/peer"
 )
 
 // AgentOptions configure an Agent.
--- a/daemon/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -8,7 +8,7 @@
 
 	"fulmarmount.org/core/attempt"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/peer"
 )
 
 // claims carries the messages of attempt.Claims between the agents of a
--- a/daemon/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -21,8 +21,8 @@
 
 	"fulmarmount.org/core/attempt"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
 )
 
 const (
--- a/daemon/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,8 +14,8 @@
 	"fulmarmount.org/core/admission"
 	"fulmarmount.org/core/attempt"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/peer"
 )
 
 // Options configure a Gateway.
--- a/daemon/internal/gateway/outgoing.go
+++ b/internal/gateway/outgoing.go
@@ -9,7 +9,7 @@
 
 	"fulmarmount.org/core/admission"
 	"fulmarmount.org/core/attempt"
-	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/peer"
 )
 
 // outgoing is one stream of an exchange to an agent.
--- a/daemon/internal/gateway/policy.go
+++ b/internal/gateway/policy.go
@@ -8,7 +8,7 @@
 
 	"fulmarmount.org/core/admission"
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 // Policy is how requests of one service are handled.
--- a/daemon/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -16,7 +16,7 @@
 	"fulmarmount.org/core/admission"
 	"fulmarmount.org/core/attempt"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/peer"
 )
 
 // run is one attempt at an agent.
--- a/daemon/internal/group/found.go
+++ b/internal/group/found.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/replica"
-	"fulmarmount.org/daemon/internal/replicalink"
+	"fulmarmount.org/fulmarmount/internal/replica"
+	"fulmarmount.org/fulmarmount/internal/replicalink"
 )
 
 // foundInterval is the time between looks at the other replicas.
--- a/daemon/internal/group/group.go
+++ b/internal/group/group.go
@@ -15,10 +15,10 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/disk"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/replica"
-	"fulmarmount.org/daemon/internal/replicalink"
+	"fulmarmount.org/fulmarmount/internal/disk"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/replica"
+	"fulmarmount.org/fulmarmount/internal/replicalink"
 )
 
 // Errors is the namespace of this package's error types.
--- a/daemon/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -19,11 +19,11 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/replica"
-	"fulmarmount.org/daemon/internal/replicalink"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/replica"
+	"fulmarmount.org/fulmarmount/internal/replicalink"
 )
 
 // patience bounds waits; it decides nothing where the code works.
--- a/daemon/internal/group/members.go
+++ b/internal/group/members.go
@@ -10,9 +10,9 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/replica"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/replica"
 )
 
 // Replicas implements admin.Replicas.
--- a/daemon/internal/group/processes_test.go
+++ b/internal/group/processes_test.go
@@ -19,12 +19,12 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/group"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/subscribe"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/group"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/subscribe"
 )
 
 // wait bounds each wait; it decides nothing where the code works.
@@ -56,7 +56,7 @@
 	t.Helper()
 	s := &site{t: t, dir: t.TempDir(), answers: map[string]fleet.Result{}}
 	for _, name := range []string{"fulmard", "fulmarctl"} {
-		s.run("go", "build", "-o", filepath.Join(s.dir, name), "fulmarmount.org/daemon/cmd/"+name)
+		s.run("go", "build", "-o", filepath.Join(s.dir, name), "fulmarmount.org/fulmarmount/cmd/"+name)
 	}
 	s.ctl("keys", "--dir", s.path("keys"), "init")
 	var peers []string
--- a/daemon/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -10,7 +10,7 @@
 
 	"gopkg.in/ini.v1"
 
-	"fulmarmount.org/daemon/internal/finding"
+	"fulmarmount.org/fulmarmount/internal/finding"
 )
 
 // maxFileSize bounds what is read, in bytes.
--- a/daemon/internal/inifile/inifile_test.go
+++ b/internal/inifile/inifile_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"fulmarmount.org/daemon/internal/finding"
+	"fulmarmount.org/fulmarmount/internal/finding"
 )
 
 func TestValuesAreTheRestOfTheirLine(t *testing.T) {
--- a/daemon/internal/inifile/reader.go
+++ b/internal/inifile/reader.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/finding"
+	"fulmarmount.org/fulmarmount/internal/finding"
 )
 
 // Reader converts the values of one section. A value that does not convert is
--- a/daemon/internal/node/changes_test.go
+++ b/internal/node/changes_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/matryer/is"
 
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/role/agent"
-	"fulmarmount.org/daemon/internal/role/control"
-	"fulmarmount.org/daemon/internal/standin"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/role/agent"
+	"fulmarmount.org/fulmarmount/internal/role/control"
+	"fulmarmount.org/fulmarmount/internal/standin"
 )
 
 // changes starts a service with four backend servers behind two balancers.
--- a/daemon/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/standin"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/standin"
 )
 
 // BenchmarkDrain measures how long after a drain the last of two balancers
--- a/daemon/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/keys"
 )
 
 // Dump is the state of one process.
--- a/daemon/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,13 +11,13 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/fleetstore"
-	"fulmarmount.org/daemon/internal/group"
-	"fulmarmount.org/daemon/internal/handover"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/fleetstore"
+	"fulmarmount.org/fulmarmount/internal/group"
+	"fulmarmount.org/fulmarmount/internal/handover"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/settings"
 )
 
 // Options are what a process is made of besides its settings.
--- a/daemon/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -19,14 +19,14 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
-	"fulmarmount.org/daemon/internal/handover"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/role/agent"
-	"fulmarmount.org/daemon/internal/role/balancer"
-	"fulmarmount.org/daemon/internal/role/control"
-	"fulmarmount.org/daemon/internal/settings"
-	"fulmarmount.org/daemon/internal/standin"
+	"fulmarmount.org/fulmarmount/internal/handover"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/role/agent"
+	"fulmarmount.org/fulmarmount/internal/role/balancer"
+	"fulmarmount.org/fulmarmount/internal/role/control"
+	"fulmarmount.org/fulmarmount/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/standin"
 )
 
 // patience bounds a wait for the fleet to settle; it decides nothing where the
--- a/daemon/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -8,12 +8,12 @@
 	"go.uber.org/fx"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/fleetstore"
-	"fulmarmount.org/daemon/internal/group"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/role/control"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/fleetstore"
+	"fulmarmount.org/fulmarmount/internal/group"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/role/control"
 )
 
 var (
--- a/daemon/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -11,10 +11,10 @@
 	"github.com/matryer/is"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/role/control"
-	"fulmarmount.org/daemon/internal/settings"
-	"fulmarmount.org/daemon/internal/standin"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/role/control"
+	"fulmarmount.org/fulmarmount/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/standin"
 )
 
 // startControlProcess starts a process that holds the control role and serves
--- a/daemon/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -13,8 +13,8 @@
 	"github.com/google/uuid"
 	"github.com/matryer/is"
 
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/standin"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/standin"
 )
 
 var requestAddr = testAddr(3)
--- a/daemon/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -8,12 +8,12 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/role/agent"
-	"fulmarmount.org/daemon/internal/role/balancer"
-	"fulmarmount.org/daemon/internal/role/control"
-	"fulmarmount.org/daemon/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/role/agent"
+	"fulmarmount.org/fulmarmount/internal/role/balancer"
+	"fulmarmount.org/fulmarmount/internal/role/control"
+	"fulmarmount.org/fulmarmount/internal/settings"
 )
 
 // ring gives the packet codec the keys that are in use at the clock's time.
--- a/daemon/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/fx"
 
-	"fulmarmount.org/daemon/internal/handover"
+	"fulmarmount.org/fulmarmount/internal/handover"
 )
 
 // Succession hands the process's roles over to a successor on the same VM. It
--- a/daemon/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,8 +12,8 @@
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
 
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/standin"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/standin"
 )
 
 const (
--- a/daemon/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,7 +10,7 @@
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
 
-	"fulmarmount.org/daemon/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/keys"
 )
 
 // Handler serves one stream and returns when it is done. The stream is closed
--- a/daemon/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -13,7 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/disk"
+	"fulmarmount.org/fulmarmount/internal/disk"
 )
 
 // sink is a state machine that keeps nothing.
--- a/daemon/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/disk"
+	"fulmarmount.org/fulmarmount/internal/disk"
 )
 
 // register is a state machine of one number: a command sets it and is answered
--- a/daemon/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/disk"
+	"fulmarmount.org/fulmarmount/internal/disk"
 )
 
 func TestAloneInMemory(t *testing.T) {
--- a/daemon/internal/replica/ports.go
+++ b/internal/replica/ports.go
@@ -2,7 +2,7 @@
 
 import (
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/disk"
+	"fulmarmount.org/fulmarmount/internal/disk"
 )
 
 // StateMachine is the replicated state. Its methods are called by one
--- a/daemon/internal/replicalink/link_test.go
+++ b/internal/replicalink/link_test.go
@@ -13,8 +13,8 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
 )
 
 const patience = 20 * time.Second
--- a/daemon/internal/replicalink/sender.go
+++ b/internal/replicalink/sender.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/quorum"
-	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/peer"
 )
 
 // sender sends to one address.
--- a/daemon/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -16,13 +16,13 @@
 	"fulmarmount.org/core/attempt"
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/gateway"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/packet"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/subscribe"
-	"fulmarmount.org/daemon/internal/udp"
+	"fulmarmount.org/fulmarmount/internal/gateway"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/packet"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/subscribe"
+	"fulmarmount.org/fulmarmount/internal/udp"
 )
 
 // Options configure an Agent.
--- a/daemon/internal/role/agent/announce.go
+++ b/internal/role/agent/announce.go
@@ -10,9 +10,9 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 const (
--- a/daemon/internal/role/agent/dump.go
+++ b/internal/role/agent/dump.go
@@ -6,7 +6,7 @@
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/locator"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/gateway"
+	"fulmarmount.org/fulmarmount/internal/gateway"
 )
 
 // Dump is the state of an agent.
--- a/daemon/internal/role/agent/packets.go
+++ b/internal/role/agent/packets.go
@@ -10,8 +10,8 @@
 
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/packet"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/packet"
 )
 
 // Stats counts what an agent did with packets.
--- a/daemon/internal/role/agent/pointers.go
+++ b/internal/role/agent/pointers.go
@@ -9,8 +9,8 @@
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/locator"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/packet"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/packet"
 )
 
 // pushInterval is how often pointers that are due are sent.
--- a/daemon/internal/role/agent/tunnel.go
+++ b/internal/role/agent/tunnel.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/splice"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/splice"
 )
 
 // connectLimit bounds the connecting to the backend server.
--- a/daemon/internal/role/balancer/balancer.go
+++ b/internal/role/balancer/balancer.go
@@ -17,13 +17,13 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/gateway"
-	"fulmarmount.org/daemon/internal/handover"
-	"fulmarmount.org/daemon/internal/packet"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/subscribe"
-	"fulmarmount.org/daemon/internal/udp"
+	"fulmarmount.org/fulmarmount/internal/gateway"
+	"fulmarmount.org/fulmarmount/internal/handover"
+	"fulmarmount.org/fulmarmount/internal/packet"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/subscribe"
+	"fulmarmount.org/fulmarmount/internal/udp"
 )
 
 // Options configure a Balancer.
--- a/daemon/internal/role/balancer/bench_test.go
+++ b/internal/role/balancer/bench_test.go
@@ -12,10 +12,10 @@
 
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/packet"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/udp"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/packet"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/udp"
 )
 
 // burst is the number of datagrams that wait in the socket at once.
--- a/daemon/internal/role/balancer/dump.go
+++ b/internal/role/balancer/dump.go
@@ -4,7 +4,7 @@
 	"net/netip"
 
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/gateway"
+	"fulmarmount.org/fulmarmount/internal/gateway"
 )
 
 // Dump is the state of a balancer.
--- a/daemon/internal/role/balancer/forwarder.go
+++ b/internal/role/balancer/forwarder.go
@@ -6,8 +6,8 @@
 
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 const (
--- a/daemon/internal/role/balancer/handover.go
+++ b/internal/role/balancer/handover.go
@@ -9,10 +9,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
-	"fulmarmount.org/daemon/internal/handover"
-	"fulmarmount.org/daemon/internal/packet"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/udp"
+	"fulmarmount.org/fulmarmount/internal/handover"
+	"fulmarmount.org/fulmarmount/internal/packet"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/udp"
 )
 
 // The kinds of item that a balancer hands over.
--- a/daemon/internal/role/balancer/packets.go
+++ b/internal/role/balancer/packets.go
@@ -5,9 +5,9 @@
 	"sync/atomic"
 
 	"fulmarmount.org/core/flow"
-	"fulmarmount.org/daemon/internal/packet"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/udp"
+	"fulmarmount.org/fulmarmount/internal/packet"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/udp"
 )
 
 // Stats counts what a balancer did with packets.
--- a/daemon/internal/role/balancer/requests.go
+++ b/internal/role/balancer/requests.go
@@ -7,9 +7,9 @@
 	"sync"
 
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/gateway"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/splice"
+	"fulmarmount.org/fulmarmount/internal/gateway"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/splice"
 )
 
 func (b *Balancer) newGateway() *gateway.Gateway {
--- a/daemon/internal/role/balancer/streams.go
+++ b/internal/role/balancer/streams.go
@@ -9,10 +9,10 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/flow"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/splice"
-	"fulmarmount.org/daemon/internal/udp"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/splice"
+	"fulmarmount.org/fulmarmount/internal/udp"
 )
 
 // tunnelLimit bounds the opening of a tunnel to a backend server.
--- a/daemon/internal/role/balancer/table.go
+++ b/internal/role/balancer/table.go
@@ -9,7 +9,7 @@
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/placement"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 // table maps service addresses to services and their views.
--- a/daemon/internal/role/balancer/table_test.go
+++ b/internal/role/balancer/table_test.go
@@ -8,7 +8,7 @@
 
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 func TestTableAdoptsChanges(t *testing.T) {
--- a/daemon/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -10,8 +10,8 @@
 	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 // Fleet is the replicated state of the fleet.
--- a/daemon/internal/role/control/control.go
+++ b/internal/role/control/control.go
@@ -15,10 +15,10 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
-	"fulmarmount.org/daemon/internal/group"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/group"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 var (
--- a/daemon/internal/role/control/daemons.go
+++ b/internal/role/control/daemons.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"fulmarmount.org/core/spread"
-	"fulmarmount.org/daemon/internal/admin"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
 )
 
 // maxPublications bounds the revisions whose position is remembered.
--- a/daemon/internal/role/control/dump.go
+++ b/internal/role/control/dump.go
@@ -7,7 +7,7 @@
 
 	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 // Dump is the state of a control process; most of it is known to the leader
--- a/daemon/internal/role/control/lead.go
+++ b/internal/role/control/lead.go
@@ -7,9 +7,9 @@
 
 	"go.uber.org/zap"
 
-	"fulmarmount.org/daemon/internal/group"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/group"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
 )
 
 // followGroup starts a term when this process comes to lead, and ends it when
--- a/daemon/internal/role/control/manual.go
+++ b/internal/role/control/manual.go
@@ -2,7 +2,7 @@
 
 import (
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 // SetServices replaces the services, for a process without replicated state.
--- a/daemon/internal/role/control/term.go
+++ b/internal/role/control/term.go
@@ -11,11 +11,11 @@
 	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/subscribe"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/subscribe"
 )
 
 const (
--- a/daemon/internal/run/run.go
+++ b/internal/run/run.go
@@ -17,10 +17,10 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"fulmarmount.org/daemon/internal/embedded"
-	"fulmarmount.org/daemon/internal/handover"
-	"fulmarmount.org/daemon/internal/node"
-	"fulmarmount.org/daemon/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/embedded"
+	"fulmarmount.org/fulmarmount/internal/handover"
+	"fulmarmount.org/fulmarmount/internal/node"
+	"fulmarmount.org/fulmarmount/internal/settings"
 )
 
 // Options are the command line of a process.
--- a/daemon/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"os"
 
-	"fulmarmount.org/daemon/internal/inifile"
+	"fulmarmount.org/fulmarmount/internal/inifile"
 )
 
 // checkRoles reports sections without their role and roles without what they
--- a/daemon/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"fulmarmount.org/core/fleet"
-	"fulmarmount.org/daemon/internal/finding"
-	"fulmarmount.org/daemon/internal/inifile"
+	"fulmarmount.org/fulmarmount/internal/finding"
+	"fulmarmount.org/fulmarmount/internal/inifile"
 )
 
 // DefaultMTU is the largest IP packet in bytes on most paths.
--- a/daemon/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"fulmarmount.org/daemon/internal/finding"
+	"fulmarmount.org/fulmarmount/internal/finding"
 )
 
 const whole = `# One VM with every role.
--- a/daemon/internal/splice/splice.go
+++ b/internal/splice/splice.go
@@ -6,7 +6,7 @@
 	"net"
 	"sync"
 
-	"fulmarmount.org/daemon/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/peer"
 )
 
 // Both copies in both directions until both have ended, and keeps half-closed
--- a/daemon/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -11,9 +11,9 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/spread"
-	"fulmarmount.org/daemon/internal/pace"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 // Options configure a subscription.
--- a/daemon/internal/subscribe/subscribe_test.go
+++ b/internal/subscribe/subscribe_test.go
@@ -12,9 +12,9 @@
 
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 // patience bounds a wait that ends early where subscriptions work.
--- a/daemon/tools/capacity/capacity_test.go
+++ b/tools/capacity/capacity_test.go
@@ -13,13 +13,13 @@
 // where the model was changed without -render.
 func TestPageMatchesFigures(t *testing.T) {
 	is := is.New(t)
-	f, err := load("../../../docs/figures/capacity.json")
+	f, err := load("../../docs/figures/capacity.json")
 	is.NoErr(err)
-	page, err := os.ReadFile("../../../docs/CAPACITY.md")
+	page, err := os.ReadFile("../../docs/CAPACITY.md")
 	is.NoErr(err)
 	filled, err := fill(string(page), f)
 	is.NoErr(err)
-	is.True(filled == string(page)) // go run ./daemon/tools/capacity -render
+	is.True(filled == string(page)) // go run ./tools/capacity -render
 	for _, m := range measurements() {
 		for _, id := range m.ids {
 			s := f.Get(id)
--- a/daemon/tools/capacity/content.go
+++ b/tools/capacity/content.go
@@ -6,7 +6,7 @@
 
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 // hostsPerService is the size of the services that are measured.
--- a/daemon/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -2,9 +2,9 @@
 // and works out from that what each role needs at the target size. It rewrites
 // the figures in docs/CAPACITY.md and the plots beside it.
 //
-//	go run ./daemon/tools/capacity            # measure everything
-//	go run ./daemon/tools/capacity -only ID   # measure the series ID again
-//	go run ./daemon/tools/capacity -render    # measure nothing
+//	go run ./tools/capacity            # measure everything
+//	go run ./tools/capacity -only ID   # measure the series ID again
+//	go run ./tools/capacity -render    # measure nothing
 package main
 
 import (
--- a/daemon/tools/capacity/measure_control.go
+++ b/tools/capacity/measure_control.go
@@ -12,9 +12,9 @@
 	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/quorum"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/disk"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/packet"
+	"fulmarmount.org/fulmarmount/internal/disk"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/packet"
 )
 
 // commandBytes is the size of a command of one configuration change.
--- a/daemon/tools/capacity/measure_spread.go
+++ b/tools/capacity/measure_spread.go
@@ -13,7 +13,7 @@
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
 func measureViews() []Series {
--- a/daemon/tools/capacity/measure_wire.go
+++ b/tools/capacity/measure_wire.go
@@ -14,11 +14,11 @@
 
 	"fulmarmount.org/core/spread"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/daemon/internal/keys"
-	"fulmarmount.org/daemon/internal/peer"
-	"fulmarmount.org/daemon/internal/proto"
-	"fulmarmount.org/daemon/internal/role/control"
-	"fulmarmount.org/daemon/internal/subscribe"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/role/control"
+	"fulmarmount.org/fulmarmount/internal/subscribe"
 )
 
 // ipUDP is the length of the IPv4 and UDP headers of a datagram in bytes.
