--- a/cmd/fulmard/main.go
+++ b/cmd/fulmard/main.go
@@ -15,6 +15,7 @@
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
 	"fulmarmount.org/fulmarmount/internal/run"
+	"fulmarmount.org/fulmarmount/platform"
 )
 
 func main() {
@@ -36,6 +37,7 @@
 func command() *ff.Command {
 	flags := ff.NewFlagSet("fulmard")
 	config := flags.String('c', "config", "", "settings file of this process (INI); none runs the embedded default")
+	base := flags.StringLong("base", "", "folder that relative paths in the settings are taken from; empty for the settings file's")
 	spray := flags.IntLong("spray", 0, "number of balancers on this host that share the service addresses packet by packet")
 	c := &ff.Command{
 		Name:      "fulmard",
@@ -48,7 +50,7 @@
 			fmt.Fprint(os.Stderr, ffhelp.Command(c))
 			return fmt.Errorf("unexpected argument %q", args[0])
 		}
-		return run.Process(ctx, run.Options{Config: *config, Spray: *spray, Output: os.Stdout})
+		return run.Process(ctx, run.Options{Config: *config, Base: *base, Platform: platform.Platform{}, Spray: *spray, Output: os.Stdout})
 	}
 	return c
 }
--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -21,10 +21,13 @@
 	KindDrain
 	// KindCancelDrain ends a drain.
 	KindCancelDrain
+	// KindImport replaces the document by one that another system numbers.
+	KindImport
 )
 
 var kindNames = map[Kind]string{
 	KindApply: "apply", KindPatch: "patch", KindRollback: "rollback", KindDrain: "drain", KindCancelDrain: "cancel drain",
+	KindImport: "import",
 }
 
 // String returns the kind's name.
@@ -76,6 +79,8 @@
 	Version uint64 `cbor:"9,keyasint,omitempty" json:"version,omitempty"`
 	// BackendServer is set for KindDrain and KindCancelDrain.
 	BackendServer string `cbor:"10,keyasint,omitempty" json:"backend_server,omitempty"`
+	// Import is set for KindImport, beside Document.
+	Import *Import `cbor:"11,keyasint,omitempty" json:"import,omitempty"`
 }
 
 // Outcome is how a command ended.
@@ -164,6 +169,10 @@
 			add("patch", "a patch is required")
 		}
 	case KindRollback:
+	case KindImport:
+		if c.Document == nil || c.Import == nil || c.Import.Number == 0 {
+			add("import", "a document with a number above 0 is required")
+		}
 	case KindDrain, KindCancelDrain:
 		if !ValidName(c.BackendServer) {
 			add("backend_server", "%q is not the name of a backend server", c.BackendServer)
--- a/core/fleet/digest.go
+++ b/core/fleet/digest.go
@@ -23,6 +23,10 @@
 	if c.Patch != nil {
 		h.patch(c.Patch)
 	}
+	if c.Import != nil {
+		h.number(c.Import.Number)
+		h.text(string(c.Import.Source))
+	}
 	return h.Sum64()
 }
 
--- a/core/fleet/document.go
+++ b/core/fleet/document.go
@@ -24,6 +24,9 @@
 	ModeStream Mode = "stream"
 	// ModeRequest carries HTTP requests, each with an outcome of its own.
 	ModeRequest Mode = "request"
+	// ModeSegment forwards packets that name their flow themselves. Callers reach
+	// the service through listeners.
+	ModeSegment Mode = "segment"
 )
 
 // Document is what operators write. Services and Exceptions are sorted by
@@ -32,6 +35,8 @@
 	Defaults   Settings    `cbor:"1,keyasint" json:"defaults"`
 	Services   []Service   `cbor:"2,keyasint" json:"services"`
 	Exceptions []Exception `cbor:"3,keyasint" json:"exceptions"`
+	// Listeners are sorted by address. Imports set them.
+	Listeners []Listener `cbor:"4,keyasint,omitempty" json:"listeners,omitempty"`
 }
 
 // Service is one service of the fleet.
@@ -107,6 +112,8 @@
 func (d *Document) Normalize() {
 	slices.SortStableFunc(d.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortStableFunc(d.Exceptions, func(a, b Exception) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortStableFunc(d.Listeners, func(a, b Listener) int { return a.Address.Compare(b.Address) })
+	d.Listeners = nonEmpty(d.Listeners)
 	d.Services = nonEmpty(d.Services)
 	d.Exceptions = nonEmpty(d.Exceptions)
 	for i := range d.Services {
--- /dev/null
+++ b/core/fleet/import.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Listener is an address that leads to services of mode segment.
+type Listener struct {
+	// Name is the operators' name of the listener.
+	Name    string         `cbor:"1,keyasint" json:"name"`
+	Address netip.AddrPort `cbor:"2,keyasint" json:"address"`
+	// Portions are the services that new flows go to, by weight.
+	Portions []Portion `cbor:"3,keyasint" json:"portions"`
+	// Timeout is how long a caller waits for an answer at most.
+	Timeout time.Duration `cbor:"4,keyasint" json:"timeout"`
+	// Objective is the time within which an answer is of full use.
+	Objective time.Duration `cbor:"5,keyasint" json:"objective"`
+	// Urgency is 0 for the most urgent requests.
+	Urgency uint8 `cbor:"6,keyasint" json:"urgency"`
+	// Idempotent requests may run more than once.
+	Idempotent bool `cbor:"7,keyasint" json:"idempotent"`
+}
+
+// Portion is a service's share of the new flows of a listener.
+type Portion struct {
+	Service string `cbor:"1,keyasint" json:"service"`
+	Weight  uint32 `cbor:"2,keyasint" json:"weight"`
+}
+
+// Import is a document that another system numbers. Of imports, the one with the
+// highest number is in force, in whatever order they arrive.
+type Import struct {
+	Number uint64 `cbor:"1,keyasint" json:"number"`
+	// Source is the document as the other system wrote it.
+	Source []byte `cbor:"2,keyasint" json:"source"`
+}
+
+// Imported returns the import in force; its number is 0 where there is none.
+// Treat its source as read-only.
+func (m *Machine) Imported() Import { return m.imported }
+
+// importDocument installs the document of an import that is newer than the one
+// in force. An older one, or one of the same number, is accepted and changes
+// nothing. Versions before an import can't be returned to.
+func (m *Machine) importDocument(c *Command) Result {
+	if c.Import.Number <= m.imported.Number {
+		return m.result(Accepted)
+	}
+	if problems := c.Document.Validate(); len(problems) > 0 {
+		return m.invalid(problems...)
+	}
+	m.assignIDs(c.Document)
+	m.document = c.Document
+	m.imported = *c.Import
+	m.version++
+	m.revision++
+	m.history = newHistory(nil)
+	return m.result(Accepted)
+}
+
+// ListenerPrefix begins the section of a problem of a listener.
+const ListenerPrefix = "listener."
+
+const maxListeners = 100_000
+
+func (v *validator) listeners() {
+	listeners := v.document.Listeners
+	v.prefix, v.item = "", ""
+	if len(listeners) > maxListeners {
+		v.add("", "%d listeners are more than %d", len(listeners), maxListeners)
+	}
+	for i := range listeners {
+		v.prefix, v.item = ListenerPrefix, listeners[i].Name
+		v.listener(&listeners[i])
+	}
+}
+
+func (v *validator) listener(l *Listener) {
+	v.address("address", ListenerPrefix+l.Name, l.Address)
+	if l.Timeout <= 0 {
+		v.add("timeout", "%s is not positive", l.Timeout)
+	}
+	var total uint64
+	for i, p := range l.Portions {
+		total += uint64(p.Weight)
+		s := v.document.Service(p.Service)
+		switch {
+		case s == nil:
+			v.add("portions", "service %q does not exist", p.Service)
+		case s.Mode != ModeSegment:
+			v.add("portions", "service %q is of mode %s, not %s", p.Service, s.Mode, ModeSegment)
+		}
+		if slices.ContainsFunc(l.Portions[:i], func(o Portion) bool { return o.Service == p.Service }) {
+			v.add("portions", "duplicate service %q", p.Service)
+		}
+	}
+	if total == 0 {
+		v.add("portions", "no service has a weight above 0")
+	}
+}
--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -21,6 +21,7 @@
 	history  *history
 	answers  *answers
 	index    uint64
+	imported Import
 }
 
 // New returns the state of a fleet before its first command: version 0, the
@@ -108,6 +109,8 @@
 		return m.patch(c)
 	case KindRollback:
 		return m.rollback(c)
+	case KindImport:
+		return m.importDocument(c)
 	case KindDrain:
 		return m.drain(c)
 	default:
@@ -151,6 +154,8 @@
 
 // install makes next the current document, if it is valid.
 func (m *Machine) install(c *Command, next *Document) Result {
+	// Listeners belong to imports; other commands leave them as they are.
+	next.Listeners = m.document.Listeners
 	if problems := next.Validate(); len(problems) > 0 {
 		return m.invalid(problems...)
 	}
--- a/core/fleet/patch.go
+++ b/core/fleet/patch.go
@@ -42,7 +42,7 @@
 // and shares what the patch does not touch. Both are normalized.
 // Deleting what does not exist is no error.
 func (p *Patch) Apply(d *Document) *Document {
-	next := &Document{Defaults: d.Defaults}
+	next := &Document{Defaults: d.Defaults, Listeners: d.Listeners}
 	if p.Defaults != nil {
 		next.Defaults = *p.Defaults
 	}
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -25,6 +25,7 @@
 	Drains   []Drain        `cbor:"7,keyasint"`
 	History  []Entry        `cbor:"8,keyasint"`
 	Answers  []Answer       `cbor:"9,keyasint"`
+	Imported Import         `cbor:"10,keyasint,omitempty"`
 }
 
 // Snapshot returns the state. Treat it as read-only.
@@ -39,6 +40,7 @@
 		Drains:   m.drains,
 		History:  m.History(),
 		Answers:  m.answers.snapshot(),
+		Imported: m.imported,
 	}
 }
 
@@ -67,6 +69,7 @@
 		history:  newHistory(s.History),
 		answers:  newAnswers(s.Answers),
 		index:    s.Index,
+		imported: s.Imported,
 	}
 	return m, nil
 }
--- a/core/fleet/validate.go
+++ b/core/fleet/validate.go
@@ -47,17 +47,18 @@
 
 // Validate returns every problem of the document, or nil.
 func (d *Document) Validate() []Problem {
-	v := &validator{document: d, owners: make(map[netip.AddrPort]*Service, len(d.Services))}
+	v := &validator{document: d, owners: make(map[netip.AddrPort]string, len(d.Services)+len(d.Listeners))}
 	v.defaults()
 	v.services()
 	v.exceptions()
+	v.listeners()
 	return v.problems
 }
 
 type validator struct {
 	document *Document
-	// owners maps each address to the service that took it first.
-	owners map[netip.AddrPort]*Service
+	// owners maps each address to the section that took it first.
+	owners map[netip.AddrPort]string
 	// prefix and item make the section of the problems found next.
 	prefix, item string
 	problems     []Problem
@@ -102,14 +103,17 @@
 
 func (v *validator) service(s *Service) {
 	v.name("", s.Name)
-	if !slices.Contains([]Mode{ModePacket, ModeStream, ModeRequest}, s.Mode) {
-		v.add("mode", "%q is none of packet, stream, request", s.Mode)
+	if !slices.Contains([]Mode{ModePacket, ModeStream, ModeRequest, ModeSegment}, s.Mode) {
+		v.add("mode", "%q is none of packet, stream, request, segment", s.Mode)
 	}
-	if len(s.Addresses) == 0 || len(s.Addresses) > maxAddresses {
+	if s.Mode == ModeSegment && len(s.Addresses) > 0 {
+		v.add("addresses", "a service of mode segment is reached through listeners")
+	}
+	if s.Mode != ModeSegment && len(s.Addresses) == 0 || len(s.Addresses) > maxAddresses {
 		v.add("addresses", "%d addresses are not between 1 and %d", len(s.Addresses), maxAddresses)
 	}
 	for _, addr := range s.Addresses {
-		v.address(s, addr)
+		v.address("addresses", ServicePrefix+s.Name, addr)
 	}
 	if s.Share > Whole {
 		v.add("share", "%s is more than 100%%", s.Share)
@@ -118,16 +122,16 @@
 	v.routes(s)
 }
 
-func (v *validator) address(s *Service, addr netip.AddrPort) {
+func (v *validator) address(key, section string, addr netip.AddrPort) {
 	if !addr.IsValid() || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().Zone() != "" {
-		v.add("addresses", "%q is not an IP address with a port that callers can reach", addr)
+		v.add(key, "%q is not an IP address with a port that callers can reach", addr)
 		return
 	}
 	if owner, ok := v.owners[addr]; ok {
-		v.add("addresses", "duplicate address %s, also of [%s%s]", addr, ServicePrefix, owner.Name)
+		v.add(key, "duplicate address %s, also of [%s]", addr, owner)
 		return
 	}
-	v.owners[addr] = s
+	v.owners[addr] = section
 }
 
 func (v *validator) classes(classes []Class) {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -49,12 +49,16 @@
 	// HoldDown is how long a flapping member gets no new flows after its last
 	// restart.
 	HoldDown time.Duration
+	// Collect is how long the first views of an epoch wait for announcements;
+	// zero stands for Lease.
+	Collect time.Duration
 	// PublishEvery is the time between two views of one service at least.
 	PublishEvery time.Duration
 }
 
 func (o *Options) setDefaults() {
 	setDefault(&o.Lease, 3*time.Second)
+	setDefault(&o.Collect, o.Lease)
 	setDefault(&o.Linger, 30*time.Second)
 	setDefault(&o.MaxEarlier, 8)
 	setDefault(&o.WarmFor, 20*time.Second)
--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -67,12 +67,12 @@
 	}
 }
 
-// Lead starts an epoch. The registry collects announcements for one lease time
+// Lead starts an epoch. The registry collects announcements for Options.Collect
 // before it publishes the epoch's first views. Views of an earlier epoch, where
 // known, keep the weights of members that announce themselves again.
 func (r *Registry) Lead(now time.Duration, epoch uint64, earlier []*view.View) {
 	r.epoch, r.number, r.leading = epoch, 0, true
-	r.collects = now + r.options.Lease
+	r.collects = now + r.options.Collect
 	for _, v := range earlier {
 		r.restore(now, v)
 	}
@@ -134,6 +134,9 @@
 	case m.announcement.Incarnation != a.Incarnation:
 		r.restarted(now, m, &a)
 	}
+	if m.phase == view.Joining && a.Authoritative {
+		m.phase = view.Warming
+	}
 	r.renew(now, m, a)
 	return nil
 }
--- a/core/placement/export_test.go
+++ b/core/placement/export_test.go
@@ -4,6 +4,6 @@
 
 // Score is the textbook score of one member, in floating point.
 func Score(key, seed uint64, weight uint32) float64 {
-	u := (float64(mix(key, seed)>>11) + 0.5) / (1 << 53)
+	u := (float64(Mix(key, seed)>>11) + 0.5) / (1 << 53)
 	return float64(weight) / -math.Log(u)
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -93,7 +93,7 @@
 }
 
 func newCandidate(key uint64, t *view.Target) candidate {
-	return candidate{hash: mix(key, t.Seed), weight: t.Weight, index: t.Index}
+	return candidate{hash: Mix(key, t.Seed), weight: t.Weight, index: t.Index}
 }
 
 // beats reports whether c scores higher than o. The score is weight / -log(u)
@@ -128,9 +128,9 @@
 	return c.cost
 }
 
-// mix combines two 64-bit values into one well-distributed value by two folded
+// Mix combines two 64-bit values into one well-distributed value by two folded
 // 128-bit multiplications.
-func mix(a, b uint64) uint64 {
+func Mix(a, b uint64) uint64 {
 	hi, lo := bits.Mul64(a^0x9e3779b97f4a7c15, b^0xd6e8feb86659fd93)
 	m := hi ^ lo
 	hi, lo = bits.Mul64(m, 0xa0761d6478bd642f)
--- /dev/null
+++ b/core/steer/host.go
@@ -0,0 +1,346 @@
+package steer
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"fulmarmount.org/core/flow"
+	"fulmarmount.org/core/view"
+)
+
+// Standing is what a backend server says of itself.
+type Standing uint8
+
+// The standings.
+const (
+	Unheard  Standing = iota // has not said anything yet
+	Serving                  // takes new flows
+	Draining                 // keeps its flows
+	Left                     // has said that it is gone
+)
+
+var standingNames = [...]string{"unheard", "serving", "draining", "left"}
+
+// String returns the standing's name.
+func (s Standing) String() string { return standingNames[s] }
+
+// Arrival is how a segment has come to a host.
+type Arrival struct {
+	Service view.ServiceID
+	// Position is the version of the service's configuration that the balancer
+	// has decided by.
+	Position view.Version
+	// Balancer is where a return goes.
+	Balancer netip.AddrPort
+	Hops     uint8
+	Informed bool
+}
+
+// HostVerdict is what a host does with a segment from a balancer.
+type HostVerdict uint8
+
+// The verdicts of a Host.
+const (
+	// Deliver hands the segment to the backend server with HostDecision.Token.
+	Deliver HostVerdict = iota
+	// SendBack returns the segment to the balancer.
+	SendBack
+)
+
+// Refusal tells why a host returns a segment.
+type Refusal uint8
+
+// The refusals.
+const (
+	NoRefusal     Refusal = iota
+	OtherService          // the backend server serves another service
+	NotRouted             // no caller may reach the service by this address
+	NotTaking             // the backend server takes no new flows
+	Unknown               // the backend server does not hold the flow
+	Ended                 // the backend server has ended, and its flows with it
+	refusalsCount = iota
+)
+
+var refusalNames = [refusalsCount]string{"none", "other_service", "not_routed", "not_taking", "unknown_flow", "ended"}
+
+// String returns the refusal's name.
+func (r Refusal) String() string { return refusalNames[r] }
+
+// HostDecision is what to do with one segment.
+type HostDecision struct {
+	Verdict HostVerdict
+	Refusal Refusal
+	// Token comes back with the segment if the backend server bounces it.
+	Token uint32
+	// Tell asks that the balancer be told that the flow is here.
+	Tell bool
+}
+
+// hostFlow is a flow that the backend server holds.
+type hostFlow struct {
+	seen      time.Duration
+	balancer  netip.AddrPort // that brought the newest SYN
+	running   bool
+	hostFIN   bool
+	callerFIN bool
+}
+
+const (
+	// pendingSize is the number of delivered segments that a bounce can be
+	// matched with.
+	pendingSize = 4096
+	// longestStep is the most silence that one tick counts: time in which this
+	// process did not run says nothing about the backend server.
+	longestStep = 200 * time.Millisecond
+	// closedTime is how long a flow is kept after both ends have closed it.
+	closedTime = 2 * time.Second
+)
+
+// Host decides about the segments of one backend server. It is safe for
+// concurrent use.
+type Host struct {
+	mu       sync.Mutex
+	service  view.ServiceID
+	routed   map[netip.AddrPort]bool
+	position view.Version
+	standing Standing
+	// silence is how long nothing was heard of the backend server.
+	silence time.Duration
+	// patience is the silence after which it has ended.
+	patience time.Duration
+	ticked   time.Duration
+	started  time.Duration
+	idle     time.Duration
+	// whole is set where every flow of the backend server is in flows.
+	whole   bool
+	flows   map[flow.ID]*hostFlow
+	running uint32
+	pending [pendingSize]pending
+	next    uint32
+}
+
+// pending is a segment that was delivered.
+type pending struct {
+	token   uint32
+	arrival Arrival
+}
+
+// HostOptions configure a Host.
+type HostOptions struct {
+	// Patience is how long a backend server may be silent.
+	Patience time.Duration
+	// Idle is how long a flow may be silent.
+	Idle time.Duration
+}
+
+// NewHost returns a Host that was started at now.
+func NewHost(now time.Duration, o HostOptions) *Host {
+	return &Host{
+		patience: o.Patience, idle: o.Idle, started: now, ticked: now,
+		flows: make(map[flow.ID]*hostFlow), routed: make(map[netip.AddrPort]bool),
+	}
+}
+
+// SetService puts the service's configuration in force: the addresses that lead
+// to it, as of position.
+func (h *Host) SetService(id view.ServiceID, position view.Version, routed []netip.AddrPort) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.service, h.position = id, position
+	clear(h.routed)
+	for _, addr := range routed {
+		h.routed[addr] = true
+	}
+}
+
+// Begin notes a new run of the backend server, which holds no flow. Where it is
+// first, the run may have begun before this process did.
+func (h *Host) Begin(first bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	clear(h.flows)
+	h.running = 0
+	h.whole = !first
+}
+
+// SetStanding notes what the backend server says of itself.
+func (h *Host) SetStanding(s Standing) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.standing, h.silence = s, 0
+}
+
+// Standing returns what the backend server has last said of itself.
+func (h *Host) Standing() Standing {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.standing
+}
+
+// Load returns the load to report.
+func (h *Host) Load() Load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return Load{Flows: uint32(len(h.flows)), Running: h.running}
+}
+
+// Ended reports whether the backend server is taken to have ended.
+func (h *Host) Ended() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ended()
+}
+
+func (h *Host) ended() bool {
+	return h.standing == Left || h.standing != Unheard && h.silence > h.patience
+}
+
+// Receive decides about a segment from a balancer.
+func (h *Host) Receive(now time.Duration, s *Segment, a Arrival) HostDecision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if refusal := h.refuses(now, s, a); refusal != NoRefusal {
+		return HostDecision{Verdict: SendBack, Refusal: refusal}
+	}
+	f := h.flows[s.Tuple.ID()]
+	tell := f != nil && !a.Informed
+	h.note(now, f, s)
+	if s.Opens() {
+		h.expect(now, s, a)
+	}
+	return HostDecision{Verdict: Deliver, Token: h.remember(a), Tell: tell}
+}
+
+// refuses returns why a segment is not delivered.
+func (h *Host) refuses(now time.Duration, s *Segment, a Arrival) Refusal {
+	if s.Opens() {
+		return h.refusesNew(a, s)
+	}
+	f := h.flows[s.Tuple.ID()]
+	switch {
+	case f != nil && h.ended():
+		return Ended
+	case f != nil:
+		return NoRefusal
+	case h.ended():
+		return Unknown
+	case h.whole || now-h.started > MaxFlowAge:
+		return Unknown
+	}
+	return NoRefusal // the backend server knows
+}
+
+// refusesNew judges a new flow by the newer of both configurations.
+func (h *Host) refusesNew(a Arrival, s *Segment) Refusal {
+	switch {
+	case h.service == 0 || a.Service != h.service:
+		return OtherService
+	case h.standing != Serving || h.ended():
+		return NotTaking
+	case !h.routed[s.Tuple.Service] && !a.Position.Newer(h.position):
+		return NotRouted
+	}
+	return NoRefusal
+}
+
+// expect remembers who is to be told when the backend server takes the flow.
+func (h *Host) expect(now time.Duration, s *Segment, a Arrival) {
+	id := s.Tuple.ID()
+	f := h.flows[id]
+	if f == nil {
+		f = &hostFlow{}
+		h.flows[id] = f
+	}
+	f.seen, f.balancer = now, a.Balancer
+}
+
+// note follows a flow by a segment of its caller.
+func (h *Host) note(now time.Duration, f *hostFlow, s *Segment) {
+	if f == nil {
+		return
+	}
+	f.seen = now
+	if s.Length > 0 && !f.running {
+		f.running = true
+		h.running++
+	}
+	f.callerFIN = f.callerFIN || s.Has(FIN)
+}
+
+// remember stores an arrival until its segment may bounce. Tokens are never 0.
+func (h *Host) remember(a Arrival) uint32 {
+	h.next++
+	if h.next == 0 {
+		h.next = 1
+	}
+	h.pending[h.next%pendingSize] = pending{token: h.next, arrival: a}
+	return h.next
+}
+
+// Bounced returns how a segment that the backend server does not take had come.
+// It is false where that is forgotten.
+func (h *Host) Bounced(s *Segment, token uint32) (Arrival, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silence = 0
+	h.forget(s.Tuple.ID())
+	p := h.pending[token%pendingSize]
+	return p.arrival, token != 0 && p.token == token
+}
+
+func (h *Host) forget(id flow.ID) {
+	f := h.flows[id]
+	if f == nil {
+		return
+	}
+	if f.running {
+		h.running--
+	}
+	delete(h.flows, id)
+}
+
+// Sent notes a segment of the backend server. It returns the balancer that is to
+// be told that the flow is here, if any.
+func (h *Host) Sent(now time.Duration, s *Segment) (tell netip.AddrPort) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silence = 0
+	id := s.Tuple.ID()
+	if s.Has(RST) {
+		h.forget(id)
+		return netip.AddrPort{}
+	}
+	f := h.flows[id]
+	if f == nil {
+		f = &hostFlow{}
+		h.flows[id] = f
+	}
+	f.seen = now
+	if s.Length > 0 && f.running {
+		f.running = false
+		h.running--
+	}
+	f.hostFIN = f.hostFIN || s.Has(FIN)
+	if s.Has(SYN) {
+		return f.balancer
+	}
+	return netip.AddrPort{}
+}
+
+// Tick lets time pass: it counts the backend server's silence and forgets flows
+// that have ended. It reports whether the backend server has just ended.
+func (h *Host) Tick(now time.Duration) (ended bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	before := h.ended()
+	h.silence += min(now-h.ticked, longestStep)
+	h.ticked = now
+	for id, f := range h.flows {
+		age := now - f.seen
+		if age > h.idle || f.hostFIN && f.callerFIN && age > closedTime {
+			h.forget(id)
+		}
+	}
+	return h.ended() && !before
+}
--- /dev/null
+++ b/core/steer/loads.go
@@ -0,0 +1,135 @@
+package steer
+
+import (
+	"sync"
+	"time"
+
+	"fulmarmount.org/core/view"
+)
+
+// Load is what a host reports of its backend server.
+type Load struct {
+	// Flows is the number of open flows.
+	Flows uint32 `cbor:"1,keyasint"`
+	// Running is the number of requests that wait for their answer.
+	Running uint32 `cbor:"2,keyasint"`
+}
+
+const (
+	// suspicionTime is how long a member gets no new flows after it has left a
+	// SYN unanswered.
+	suspicionTime = 1 * time.Second
+	// flowCost is the load of an open flow without a running request, in
+	// thousandths of a running request.
+	flowCost = 250
+	// requestCost is the load of a running request in the same unit.
+	requestCost = 1000
+	// placedTime is how long a flow that was just placed counts beside the
+	// reports, which may not have it yet.
+	placedTime = 100 * time.Millisecond
+)
+
+// loads holds the newest report of each member and what was placed since.
+type loads struct {
+	mu   sync.Mutex
+	byID map[loadKey]*memberLoad
+}
+
+type loadKey struct {
+	service view.ServiceID
+	seed    uint64
+}
+
+type memberLoad struct {
+	report    Load
+	at        time.Duration
+	placed    []time.Duration
+	suspected time.Duration // until when
+}
+
+func newLoads() *loads { return &loads{byID: make(map[loadKey]*memberLoad)} }
+
+func (l *loads) of(m *member) *memberLoad {
+	key := loadKey{m.service, m.peer.Seed}
+	found := l.byID[key]
+	if found == nil {
+		found = &memberLoad{}
+		l.byID[key] = found
+	}
+	return found
+}
+
+// report takes a report. The member has answered, so it is not suspected.
+func (l *loads) report(now time.Duration, m *member, load Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := l.of(m)
+	found.report, found.at, found.suspected = load, now, 0
+}
+
+// suspect keeps new flows from a member for a while.
+func (l *loads) suspect(now time.Duration, m *member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of(m).suspected = now + suspicionTime
+}
+
+// keep forgets the members that are in no table any more.
+func (l *loads) keep(t *Table) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key := range l.byID {
+		if t.find(key.service, key.seed) == nil {
+			delete(l.byID, key)
+		}
+	}
+}
+
+// choose returns the member with the least load among those that take new flows
+// and are not suspected, and notes that a flow is placed there. Where all are
+// suspected, it is the first that takes new flows. The zone decides between
+// equal loads.
+func (l *loads) choose(now time.Duration, candidates []*member, zone string) *member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var best, spare *member
+	var least uint64
+	for _, m := range candidates {
+		if !m.takes {
+			continue
+		}
+		if spare == nil {
+			spare = m
+		}
+		found := l.of(m)
+		if found.suspected > now {
+			continue
+		}
+		load := found.cost(now, m)
+		if best == nil || load < least || load == least && m.zone == zone && best.zone != zone {
+			best, least = m, load
+		}
+	}
+	if best == nil {
+		best = spare
+	}
+	if best != nil {
+		found := l.of(best)
+		found.placed = append(found.placed, now)
+	}
+	return best
+}
+
+// cost returns the load of one slot at full weight, in thousandths of a request.
+func (f *memberLoad) cost(now time.Duration, m *member) uint64 {
+	recent := 0
+	for i, at := range f.placed {
+		if now-at <= placedTime {
+			recent = len(f.placed) - i
+			break
+		}
+	}
+	f.placed = f.placed[len(f.placed)-recent:]
+	total := uint64(f.report.Flows)*flowCost + (uint64(f.report.Running)+uint64(recent))*requestCost
+	return total * view.FullWeight / (uint64(m.slots) * uint64(max(m.weight, 1)))
+}
--- /dev/null
+++ b/core/steer/table.go
@@ -0,0 +1,224 @@
+package steer
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"fulmarmount.org/core/flow"
+	"fulmarmount.org/core/placement"
+	"fulmarmount.org/core/view"
+)
+
+// Portion is a service's share of the new flows of an address.
+type Portion struct {
+	Service view.ServiceID
+	Weight  uint32
+}
+
+// Routes maps the addresses that callers use to the services behind them.
+type Routes map[netip.AddrPort][]Portion
+
+// member is a backend server that may hold flows.
+type member struct {
+	peer    flow.Peer
+	service view.ServiceID
+	id      string
+	zone    string
+	weight  uint32
+	slots   uint16
+	takes   bool
+	// left is when the member was last in its view; zero while it is.
+	left time.Duration
+}
+
+// Table is what a balancer knows of addresses and members. It is immutable.
+type Table struct {
+	routes  Routes
+	members map[view.ServiceID][]member
+	// former are the services that addresses had under earlier routes. Their
+	// flows stay where they are.
+	former map[netip.AddrPort][]former
+}
+
+// former is a service that an address no longer leads to.
+type former struct {
+	service view.ServiceID
+	until   time.Duration
+}
+
+// NewTable returns a table without routes.
+func NewTable() *Table {
+	return &Table{routes: Routes{}, members: map[view.ServiceID][]member{}, former: map[netip.AddrPort][]former{}}
+}
+
+// WithRoutes returns the table with other routes.
+func (t *Table) WithRoutes(now time.Duration, routes Routes) *Table {
+	next := &Table{routes: routes, members: t.members, former: make(map[netip.AddrPort][]former)}
+	for addr := range routes {
+		for _, f := range t.former[addr] {
+			if now-f.until < MaxFlowAge {
+				next.former[addr] = append(next.former[addr], f)
+			}
+		}
+		for _, p := range t.routes[addr] {
+			if !leadsTo(routes[addr], p.Service) {
+				next.former[addr] = append(next.former[addr], former{service: p.Service, until: now})
+			}
+		}
+	}
+	return next
+}
+
+func leadsTo(portions []Portion, service view.ServiceID) bool {
+	return slices.ContainsFunc(portions, func(p Portion) bool { return p.Service == service })
+}
+
+// WithView returns the table with the members of v. Members that v no longer
+// names are kept for as long as their flows may live, unless another has taken
+// their address.
+func (t *Table) WithView(now time.Duration, v *view.View) *Table {
+	next := &Table{routes: t.routes, former: t.former, members: make(map[view.ServiceID][]member, len(t.members)+1)}
+	taken := make(map[netip.AddrPort]bool, len(v.Members))
+	list := make([]member, 0, len(v.Members))
+	for i := range v.Members {
+		b := &v.Members[i]
+		if b.State == view.Gone {
+			continue
+		}
+		taken[b.Packets] = true
+		list = append(list, member{
+			peer: flow.PeerOf(v, i), service: v.Service, id: b.ID, zone: b.Zone,
+			weight: b.Weight, slots: max(b.Slots, 1), takes: b.TakesNew(),
+		})
+	}
+	for id, members := range t.members {
+		if id != v.Service {
+			next.members[id] = slices.DeleteFunc(slices.Clone(members), func(m member) bool { return taken[m.peer.Addr] })
+		}
+	}
+	next.members[v.Service] = append(list, departed(now, t.members[v.Service], list, taken)...)
+	return next
+}
+
+// departed returns the members of before that are not in list and may still
+// hold flows.
+func departed(now time.Duration, before, list []member, taken map[netip.AddrPort]bool) []member {
+	var out []member
+	for _, m := range before {
+		same := func(o member) bool { return o.id == m.id }
+		if taken[m.peer.Addr] || slices.ContainsFunc(list, same) {
+			continue
+		}
+		if m.left == 0 {
+			m.left = now
+		}
+		m.takes = false
+		if now-m.left < MaxFlowAge {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Routed reports whether an address leads to a service.
+func (t *Table) Routed(addr netip.AddrPort) bool { return len(t.routes[addr]) > 0 }
+
+// Routes returns the number of addresses.
+func (t *Table) Routes() int { return len(t.routes) }
+
+// Available returns the number of members that take new flows of the services
+// behind an address.
+func (t *Table) Available(addr netip.AddrPort) int {
+	n := 0
+	for _, p := range t.routes[addr] {
+		for i := range t.members[p.Service] {
+			if t.members[p.Service][i].takes {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// services returns the services that may hold a flow, the likeliest first.
+func (t *Table) services(key uint64, addr netip.AddrPort) []view.ServiceID {
+	portions := t.routes[addr]
+	var out []view.ServiceID
+	if chosen, ok := choosePortion(key, portions); ok {
+		out = append(out, chosen)
+	}
+	add := func(id view.ServiceID) {
+		if !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	for _, p := range portions {
+		add(p.Service)
+	}
+	for _, f := range t.former[addr] {
+		add(f.service)
+	}
+	return out
+}
+
+// choosePortion returns the service of a new flow. All balancers choose alike.
+func choosePortion(key uint64, portions []Portion) (view.ServiceID, bool) {
+	var total uint64
+	for _, p := range portions {
+		total += uint64(p.Weight)
+	}
+	if total == 0 {
+		return 0, false
+	}
+	at := placement.Mix(key, portionSeed) % total
+	for _, p := range portions {
+		if at < uint64(p.Weight) {
+			return p.Service, true
+		}
+		at -= uint64(p.Weight)
+	}
+	return 0, false
+}
+
+// portionSeed keeps the choice of a service apart from that of a member.
+const portionSeed = 0x5851f42d4c957f2d
+
+// order returns the members of a service in the order in which key is looked
+// for. A member that joins or leaves moves no other.
+func (t *Table) order(key uint64, service view.ServiceID) []*member {
+	list := t.members[service]
+	out := make([]*member, len(list))
+	for i := range list {
+		out[i] = &list[i]
+	}
+	slices.SortFunc(out, func(a, b *member) int {
+		return cmp.Or(
+			cmp.Compare(placement.Mix(key, b.peer.Seed), placement.Mix(key, a.peer.Seed)),
+			cmp.Compare(a.id, b.id),
+		)
+	})
+	return out
+}
+
+// holders returns every member that may hold the flow of key, the likeliest
+// first.
+func (t *Table) holders(key uint64, addr netip.AddrPort) []*member {
+	var out []*member
+	for _, service := range t.services(key, addr) {
+		out = append(out, t.order(key, service)...)
+	}
+	return out
+}
+
+// find returns the member with a seed, or nil.
+func (t *Table) find(service view.ServiceID, seed uint64) *member {
+	list := t.members[service]
+	for i := range list {
+		if list[i].peer.Seed == seed {
+			return &list[i]
+		}
+	}
+	return nil
+}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -244,6 +244,9 @@
 	Holds Version `cbor:"13,keyasint"`
 	// Flows is the number of flows the agent owns.
 	Flows uint32 `cbor:"14,keyasint"`
+	// Authoritative is set where the backend server itself knows its flows, so
+	// that it may take new ones before its agent has adopted a view.
+	Authoritative bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Load is the number of flows that an agent owned when it announced itself.
--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -43,7 +43,7 @@
 
 func checkFile(path string) error {
 	if isSettings(path) {
-		_, err := settings.Load(path)
+		_, err := settings.Load(path, "")
 		return err
 	}
 	_, err := fleetfile.Load(path)
--- a/internal/ctl/examples_test.go
+++ b/internal/ctl/examples_test.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		run("keys", "--dir", keysDir, "issue", name)
-		process, err := settings.Load(file)
+		process, err := settings.Load(file, "")
 		is.NoErr(err)
 		is.Equal(process.Name, name)
 		processes = append(processes, process)
--- a/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -23,6 +23,7 @@
 func (a *app) keysCommand() *ff.Command {
 	flags := a.flagSet("keys")
 	dir := flags.String('d', "dir", defaultKeysDir, "folder of the authority")
+	back := flags.DurationLong("back", 0, "how far to date keys back, for VMs whose clocks are behind")
 	return &ff.Command{
 		Name:      "keys",
 		Usage:     "fulmarctl keys [--dir DIR] COMMAND ...",
@@ -32,9 +33,9 @@
 			{
 				Name: "init", Usage: "fulmarctl keys init", ShortHelp: "make an authority and the first packet key",
 				Flags: ff.NewFlagSet("init").SetParent(flags),
-				Exec:  func(_ context.Context, args []string) error { return a.keysInit(*dir, args) },
+				Exec:  func(_ context.Context, args []string) error { return a.keysInit(*dir, *back, args) },
 			},
-			a.issueCommand(flags, dir),
+			a.issueCommand(flags, dir, back),
 			{
 				Name: "show", Usage: "fulmarctl keys show", ShortHelp: "list certificates and packet keys with their times",
 				Flags: ff.NewFlagSet("show").SetParent(flags),
@@ -45,18 +46,18 @@
 	}
 }
 
-func (a *app) keysInit(dir string, args []string) error {
+func (a *app) keysInit(dir string, back time.Duration, args []string) error {
 	if err := wantArgs(args, 0); err != nil {
 		return err
 	}
-	if err := keys.Init(dir, a.Now()); err != nil {
+	if err := keys.Init(dir, a.Now().Add(-back)); err != nil {
 		return err
 	}
 	a.out("made %s and %s in %s; keep ca.key off the VMs", keys.CAFile, keys.RingFile, dir)
 	return nil
 }
 
-func (a *app) issueCommand(parent *ff.FlagSet, dir *string) *ff.Command {
+func (a *app) issueCommand(parent *ff.FlagSet, dir *string, back *time.Duration) *ff.Command {
 	flags := ff.NewFlagSet("issue").SetParent(parent)
 	roles := flags.String(0, "roles", "balancer,agent,control", "roles that the certificate allows; operator for operators")
 	days := flags.Int(0, "days", int(keys.DefaultValidity/(24*time.Hour)), "days until the certificate expires")
@@ -69,12 +70,12 @@
 			if err := wantArgs(args, 1); err != nil {
 				return err
 			}
-			return a.issue(*dir, args[0], strings.Split(*roles, ","), *days)
+			return a.issue(*dir, args[0], strings.Split(*roles, ","), *days, *back)
 		},
 	}
 }
 
-func (a *app) issue(dir, name string, roleNames []string, days int) error {
+func (a *app) issue(dir, name string, roleNames []string, days int, back time.Duration) error {
 	if !fleet.ValidName(name) {
 		return errUsage.New("%q is not a name of lower-case letters, digits, '.' and '-'", name)
 	}
@@ -93,7 +94,7 @@
 		roles = append(roles, role)
 	}
 	validity := time.Duration(days) * 24 * time.Hour
-	if err := keys.Issue(dir, name, roles, a.Now(), validity); err != nil {
+	if err := keys.Issue(dir, name, roles, a.Now().Add(-back), back+validity); err != nil {
 		return err
 	}
 	a.out("made %s.pem and %s.key in %s, valid until %s", name, name, dir, a.Now().Add(validity).Format(time.RFC3339))
--- a/internal/ctl/recover.go
+++ b/internal/ctl/recover.go
@@ -30,7 +30,7 @@
 	if err := wantArgs(args, 1); err != nil {
 		return err
 	}
-	process, err := settings.Load(args[0])
+	process, err := settings.Load(args[0], "")
 	if err != nil {
 		return err
 	}
--- a/internal/e2e/examples_test.go
+++ b/internal/e2e/examples_test.go
@@ -45,7 +45,7 @@
 	var daemons, members int
 	for _, name := range processNames(t, dir) {
 		fulmarctl(t, bin, dir, "keys", "issue", name)
-		p, err := settings.Load(filepath.Join(dir, name+".ini"))
+		p, err := settings.Load(filepath.Join(dir, name+".ini"), "")
 		is.NoErr(err)
 		for _, a := range p.Agents {
 			startBackend(t, document, a)
--- /dev/null
+++ b/internal/fleetstore/imports.go
@@ -0,0 +1,32 @@
+package fleetstore
+
+import (
+	"context"
+	"time"
+
+	"fulmarmount.org/core/fleet"
+)
+
+// Imports is the imported configuration of a Store.
+type Imports struct {
+	store *Store
+	now   func() time.Time
+}
+
+// NewImports returns the imports of a store. The clock dates commands.
+func NewImports(store *Store, now func() time.Time) *Imports { return &Imports{store: store, now: now} }
+
+// Import puts a document in force unless one of the same or a higher number is.
+// An error of type ErrPropose leaves its result unknown.
+func (i *Imports) Import(ctx context.Context, what fleet.Import, d *fleet.Document) (fleet.Result, error) {
+	return i.store.Propose(ctx, fleet.Command{
+		Kind: fleet.KindImport, At: i.now(), Import: &what, Document: d,
+	})
+}
+
+// Imported returns the import in force, confirmed by a majority.
+func (i *Imports) Imported(ctx context.Context) (fleet.Import, error) {
+	var out fleet.Import
+	err := i.store.Read(ctx, func(m *fleet.Machine) { out = m.Imported() })
+	return out, err
+}
--- a/internal/group/found.go
+++ b/internal/group/found.go
@@ -69,7 +69,7 @@
 func (g *Group) askPeers(ctx context.Context) []replicalink.Identity {
 	var answers []replicalink.Identity
 	for _, p := range g.options.Peers {
-		if p.Name == g.options.Name {
+		if p.Name == g.options.Name || p.Addr == g.options.Addr {
 			continue
 		}
 		identity, err := g.link.Identify(ctx, p.Addr)
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/quorum"
+	"fulmarmount.org/core/roster"
 	"fulmarmount.org/fulmarmount/internal/disk"
 	"fulmarmount.org/fulmarmount/internal/peer"
 	"fulmarmount.org/fulmarmount/internal/replica"
@@ -48,6 +49,14 @@
 	// Peers are the replicas of a new cluster, this one included. None, or
 	// this one alone, makes a cluster of one replica.
 	Peers []Peer
+	// Seeds returns addresses of replicas that a replica without a cluster, or
+	// one that was removed, asks to be added; nil where operators add replicas.
+	Seeds func() []netip.AddrPort
+	// Keep maintains the membership; the zero value promotes learners and
+	// removes none.
+	Keep roster.Options
+	// Tick is the unit of the replica's time; 0 stands for the default.
+	Tick time.Duration
 	// Folder holds the durable state; empty keeps it in memory, for a replica
 	// on its own.
 	Folder  string
@@ -98,17 +107,27 @@
 		self: quorum.Member{ID: s.Replica(), Name: o.Name, Address: o.Addr.String()},
 	}
 	g.link = replicalink.New(replicalink.Options{
-		Self: g.self, Pool: o.Pool, Receive: g.receive, Identity: g.identity, Now: o.Now, Log: o.Log,
+		Self: g.self, Pool: o.Pool, Receive: g.receive, Identity: g.identity, Admit: g.admit, Now: o.Now, Log: o.Log,
 	})
-	if replica.Blank(s) && len(o.Peers) > 1 {
+	switch {
+	case replica.Blank(s) && len(o.Peers) > 1:
 		o.Log.Info("Replica belongs to no cluster yet.", zap.Stringer("replica", g.self.ID))
 		g.running.Go(func() { g.found(ctx) })
-	} else if err := g.startAlone(); err != nil {
+	case replica.Blank(s) && len(o.Peers) == 0 && o.Seeds != nil:
+		o.Log.Info("Replica waits to be added to a cluster.", zap.Stringer("replica", g.self.ID))
+		err = g.start()
+	default:
+		err = g.startAlone()
+	}
+	if err != nil {
 		cancel()
 		_ = s.Close()
 		return nil, err
 	}
-	g.running.Go(func() { g.promoteLearners(ctx) })
+	g.running.Go(func() { g.keepMembers(ctx) })
+	if o.Seeds != nil {
+		g.running.Go(func() { g.joinCluster(ctx) })
+	}
 	return g, nil
 }
 
@@ -134,7 +153,7 @@
 func (g *Group) start() error {
 	n, err := replica.Start(replica.Options{
 		Store: g.store, Machine: g.options.Machine, Transport: g.link,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: g.options.Log,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Tick: g.options.Tick, Log: g.options.Log,
 	})
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -185,6 +204,7 @@
 	return map[string]peer.Handler{
 		replicalink.Messages: g.link.HandleMessages,
 		replicalink.Identify: g.link.HandleIdentify,
+		replicalink.Join:     g.link.HandleJoin,
 	}
 }
 
--- a/internal/group/members.go
+++ b/internal/group/members.go
@@ -4,14 +4,9 @@
 	"context"
 	"net/netip"
 	"strconv"
-	"time"
-
-	"github.com/joomcode/errorx"
-	"go.uber.org/zap"
 
 	"fulmarmount.org/core/quorum"
 	"fulmarmount.org/fulmarmount/internal/admin"
-	"fulmarmount.org/fulmarmount/internal/pace"
 	"fulmarmount.org/fulmarmount/internal/replica"
 )
 
@@ -98,35 +93,6 @@
 	return nil, replica.NotLeader.New("no leader is known")
 }
 
-// promoteInterval is the time between looks at the learners.
-const promoteInterval = time.Second
-
-// promoteLearners lets learners vote once they have caught up.
-func (g *Group) promoteLearners(ctx context.Context) {
-	pace.Every(ctx, promoteInterval, func() { g.promote(ctx) })
-}
-
-func (g *Group) promote(ctx context.Context) {
-	n := g.current()
-	if n == nil {
-		return
-	}
-	if soft, _ := n.Leader(); soft.Role != quorum.Leader {
-		return
-	}
-	for _, m := range n.Status().Membership.Members {
-		if !m.Learner {
-			continue
-		}
-		err := n.Promote(ctx, m.ID)
-		if err == nil {
-			g.options.Log.Info("A replica has caught up and votes now.", zap.Stringer("replica", m.ID), zap.String("name", m.Name))
-		} else if !errorx.IsOfType(err, quorum.NotCaughtUp) {
-			g.options.Log.Warn("Cannot promote a replica.", zap.Stringer("replica", m.ID), zap.Error(err))
-		}
-	}
-}
-
 // Dump is the state of the replica for the process's dump.
 type Dump struct {
 	Replica   string           `json:"replica"`
--- a/internal/group/processes_test.go
+++ b/internal/group/processes_test.go
@@ -308,7 +308,7 @@
 	var running sync.WaitGroup
 	running.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
-			Name: "balancer-1", Control: control, Pool: pool, Adopt: d.adopt, Now: time.Now, Log: zap.NewNop(),
+			Name: "balancer-1", Control: subscribe.Fixed(control...), Pool: pool, Adopt: d.adopt, Now: time.Now, Log: zap.NewNop(),
 		})
 	})
 	s.t.Cleanup(func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/fleet"
+	"fulmarmount.org/fulmarmount/internal/adapter"
 	"fulmarmount.org/fulmarmount/internal/admin"
 	"fulmarmount.org/fulmarmount/internal/fleetstore"
 	"fulmarmount.org/fulmarmount/internal/group"
@@ -41,6 +42,10 @@
 	// Initial is put in force by a control role that starts without state;
 	// nil for none.
 	Initial *fleet.Document
+	// Platform speaks the protocols of the platform; nil for none.
+	Platform adapter.Platform
+	// Seeds are the control processes that the settings name.
+	Seeds *Seeds
 	// Ready is called once every role has started; nil where nobody waits.
 	Ready func()
 	// Now is the clock.
@@ -53,7 +58,7 @@
 // Load reads the keys that the settings name, or makes keys for this process
 // alone where they name none.
 func Load(p *settings.Process, now func() time.Time, log *zap.Logger) (Options, error) {
-	o := Options{Settings: p, Now: now, Log: log}
+	o := Options{Settings: p, Seeds: NewSeeds(p.Join.Control), Now: now, Log: log}
 	if !p.TLS.Enabled() {
 		return ephemeral(o)
 	}
@@ -91,6 +96,14 @@
 // connects to, and stops them in the opposite one.
 func registerRoles(lc fx.Lifecycle, o Options, d *Dumper, s *Succession) error {
 	var spread admin.Spread
+	var running []role
+	started := func(r role, err error) (role, error) {
+		if err == nil {
+			running = append(running, r)
+		}
+		return r, err
+	}
+	registerMetrics(lc, o)
 	if o.Settings.Has(settings.RoleControl) {
 		if err := openState(&o); err != nil {
 			return err
@@ -100,17 +113,25 @@
 			if err == nil {
 				spread = c.(admin.Spread)
 			}
-			return c, err
+			return started(c, err)
 		})
 	}
+	if o.Settings.Has(settings.RoleAgent) && o.Settings.Segments != nil {
+		register(lc, d, s, settings.RoleAgent, func() (role, error) { return started(startSegmentAgent(o)) })
+	}
 	if o.Settings.Has(settings.RoleAgent) {
 		for _, a := range o.Settings.Agents {
 			register(lc, d, s, settings.RoleAgent, func() (role, error) { return startAgent(o, a) })
 		}
 	}
 	if o.Settings.Has(settings.RoleBalancer) {
-		register(lc, d, s, settings.RoleBalancer, func() (role, error) { return startBalancer(o) })
+		start := startBalancer
+		if o.Settings.Segments != nil {
+			start = startSegmentBalancer
+		}
+		register(lc, d, s, settings.RoleBalancer, func() (role, error) { return started(start(o)) })
 	}
+	registerAdapter(lc, o, &running)
 	registerAdmin(lc, o, d, s, &spread)
 	registerHandover(lc, o, s)
 	return nil
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"go.uber.org/fx"
 
 	"fulmarmount.org/core/fleet"
+	"fulmarmount.org/core/roster"
 	"fulmarmount.org/fulmarmount/internal/admin"
 	"fulmarmount.org/fulmarmount/internal/fleetstore"
 	"fulmarmount.org/fulmarmount/internal/group"
@@ -36,12 +38,16 @@
 		peers = append(peers, group.Peer{Name: p.Name, Addr: p.Addr})
 	}
 	o.pool = peer.NewPool(o.clientTLS(keys.Control))
+	o.pool.SetSilence(o.Settings.Join.Silence)
 	var err error
 	o.Group, err = group.Open(group.Options{
 		Name:    o.Settings.Name,
 		Addr:    o.Settings.Control.Listen,
 		Cluster: o.Settings.Control.Cluster,
 		Peers:   peers,
+		Seeds:   o.joins(),
+		Keep:    roster.Options{Voters: voters(o.Settings.Control.Tolerate)},
+		Tick:    o.Settings.Control.Tick,
 		Folder:  group.Folder(o.Settings.DataDir),
 		Machine: machine,
 		Pool:    o.pool,
@@ -55,6 +61,22 @@
 	return nil
 }
 
+// joins returns where a replica asks to be added; nil where operators add it.
+func (o *Options) joins() func() []netip.AddrPort {
+	if !o.Settings.Control.Join {
+		return nil
+	}
+	return o.Seeds.Get
+}
+
+// voters returns the number of voters that survive the loss of some of them.
+func voters(tolerate int) int {
+	if tolerate == 0 {
+		return 0
+	}
+	return 2*tolerate + 1
+}
+
 // replicatedControl is the control role of a member of a control group.
 type replicatedControl struct {
 	*control.Control
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -49,11 +49,13 @@
 
 func startControl(o Options) (role, error) {
 	options := control.Options{
-		Listen: o.Settings.Control.Listen,
-		TLS:    o.Identity.ServerTLSFor([]keys.Role{keys.Balancer, keys.Agent, keys.Control}, peer.Protocol),
-		Epoch:  uint64(o.Now().Unix()),
-		Now:    o.Now,
-		Log:    o.Log.Named("control"),
+		Listen:  o.Settings.Control.Listen,
+		TLS:     o.Identity.ServerTLSFor([]keys.Role{keys.Balancer, keys.Agent, keys.Control}, peer.Protocol),
+		Epoch:   uint64(o.Now().Unix()),
+		Silence: o.Settings.Join.Silence,
+		Collect: o.Settings.Control.Collect,
+		Now:     o.Now,
+		Log:     o.Log.Named("control"),
 	}
 	if o.Store != nil {
 		options.Fleet = o.Store
--- /dev/null
+++ b/internal/node/segments.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+
+	"go.uber.org/fx"
+
+	"fulmarmount.org/fulmarmount/internal/adapter"
+	"fulmarmount.org/fulmarmount/internal/fleetstore"
+	"fulmarmount.org/fulmarmount/internal/keys"
+	"fulmarmount.org/fulmarmount/internal/segment"
+	"fulmarmount.org/fulmarmount/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/subscribe"
+)
+
+// Seeds are the addresses of control processes in the settings. They may change
+// while the process runs.
+type Seeds struct {
+	addrs atomic.Pointer[[]netip.AddrPort]
+}
+
+// NewSeeds returns Seeds with addresses.
+func NewSeeds(addrs []netip.AddrPort) *Seeds {
+	s := &Seeds{}
+	s.Set(addrs)
+	return s
+}
+
+// Set replaces the addresses.
+func (s *Seeds) Set(addrs []netip.AddrPort) { s.addrs.Store(&addrs) }
+
+// Get returns the addresses.
+func (s *Seeds) Get() []netip.AddrPort { return *s.addrs.Load() }
+
+// readiness is a role that tells when callers may be sent to it.
+type readiness interface{ Ready() bool }
+
+func (o Options) segmentOptions(name string) segment.Common {
+	s, join := o.Settings.Segments, o.Settings.Join
+	return segment.Common{
+		Name: o.Settings.Name, Zone: o.Settings.Zone, Control: o.Seeds.Get,
+		Retry:   subscribe.Retry{First: join.Retry, Max: join.RetryMax, Dial: join.Dial},
+		Silence: join.Silence,
+		Packets: s.Packets, ReturnPort: s.Callers.Port(),
+		TLS: o.clientTLS(keys.Control), Keys: ring{Ring: o.Ring, now: o.Now}, Session: rand.Uint64(),
+		Codec: o.Platform.Codec(), Now: o.Now, Log: o.Log.Named(name),
+	}
+}
+
+func startSegmentBalancer(o Options) (role, error) {
+	return segment.StartBalancer(segment.BalancerOptions{
+		Common: o.segmentOptions("balancer"), Callers: o.Settings.Segments.Callers, LeaveTime: o.Settings.Segments.LeaveTime,
+	})
+}
+
+func startSegmentAgent(o Options) (role, error) {
+	s := o.Settings.Segments
+	return segment.StartAgent(segment.AgentOptions{
+		Common: o.segmentOptions("agent"), Service: s.Service, Backend: s.Backend, Outbound: s.Outbound,
+		Patience: s.Patience, IdleTimeout: s.IdleTimeout,
+	})
+}
+
+// registerAdapter serves the platform's interfaces for the roles in running.
+// They stop after the roles, so that a role that is leaving still says so.
+func registerAdapter(lc fx.Lifecycle, o Options, running *[]role) {
+	if o.Platform == nil || !o.Settings.Adapter.Enabled() {
+		return
+	}
+	var server adapter.Server
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) (err error) {
+			server, err = o.Platform.Start(adapterOptions(o, running))
+			return err
+		},
+		OnStop: func(ctx context.Context) error { return server.Stop(ctx) },
+	})
+}
+
+func adapterOptions(o Options, running *[]role) adapter.Options {
+	options := adapter.Options{
+		Readiness: o.Settings.Adapter.Readiness, Operators: o.Settings.Adapter.Operators,
+		Ready: func() bool { return allReady(*running) },
+		Log:   o.Log.Named("platform"),
+	}
+	for _, r := range *running {
+		if agent, ok := r.(*segment.Agent); ok {
+			options.Backend = agent
+		}
+	}
+	if o.Settings.Has(settings.RoleControl) {
+		options.Imports = fleetstore.NewImports(o.Store, o.Now)
+	}
+	return options
+}
+
+func allReady(running []role) bool {
+	for _, r := range running {
+		if one, ok := r.(readiness); ok && !one.Ready() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/packet/header.go
+++ b/internal/packet/header.go
@@ -19,6 +19,10 @@
 	Forward Kind = 1 // caller to backend server, from a balancer or relayed by an agent
 	Reply   Kind = 2 // backend server to caller, from an agent
 	Control Kind = 3 // agent to agent: a CBOR message about flow ownership
+	// Returned brings a segment that a backend server does not take back to the
+	// balancer that sent it.
+	Returned Kind = 4
+	Note     Kind = 5 // agent to balancer: a CBOR message about a segment's flow or the load
 )
 
 // Header describes one datagram on its way through the fleet.
--- a/internal/proto/item.go
+++ b/internal/proto/item.go
@@ -66,6 +66,7 @@
 		if err := cbor.Unmarshal(it.Body, &s); err != nil {
 			return BadItem.Wrap(err, "decode %q at %v", it.Key, it.Version)
 		}
+		s.Version = it.Version
 		u.Services = append(u.Services, s)
 	case strings.HasPrefix(it.Key, viewPrefix) && !it.Deleted:
 		v := &view.View{}
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -42,6 +42,7 @@
 	ModePacket  Mode = "packet"  // UDP datagrams, flow by flow
 	ModeStream  Mode = "stream"  // TCP connections
 	ModeRequest Mode = "request" // HTTP requests, each with an outcome of its own
+	ModeSegment Mode = "segment" // packets that name their flow themselves
 )
 
 // Service is what daemons need to know of a service.
@@ -55,6 +56,16 @@
 	Repeatable []fleet.Route    `cbor:"7,keyasint,omitempty"`
 	// Settings are in force for the service as a whole.
 	Settings fleet.Settings `cbor:"8,keyasint"`
+	// Inbound are the listeners that lead to a service of mode segment.
+	Inbound []Inbound `cbor:"9,keyasint,omitempty"`
+	// Version is that of the item that the service came in.
+	Version view.Version `cbor:"-"`
+}
+
+// Inbound is a listener's address and the service's weight there.
+type Inbound struct {
+	Addr   netip.AddrPort `cbor:"1,keyasint"`
+	Weight uint32         `cbor:"2,keyasint"`
 }
 
 // Equal reports whether both tell daemons the same.
@@ -62,7 +73,8 @@
 	return s.ID == o.ID && s.Name == o.Name && s.Mode == o.Mode && s.Share == o.Share && s.Settings == o.Settings &&
 		slices.Equal(s.Addresses, o.Addresses) &&
 		slices.Equal(s.Classes, o.Classes) &&
-		slices.Equal(s.Repeatable, o.Repeatable)
+		slices.Equal(s.Repeatable, o.Repeatable) &&
+		slices.Equal(s.Inbound, o.Inbound)
 }
 
 // TunnelOpen asks an agent to connect to its backend server.
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -18,7 +18,9 @@
 	Transport Transport
 	// Rand draws election timeouts and the numbers of proposals.
 	Rand *rand.Rand
-	// Ticks advances the replica's time; nil ticks every TickInterval.
+	// Tick is the unit of the replica's time; zero stands for TickInterval.
+	Tick time.Duration
+	// Ticks advances the replica's time; nil ticks every Tick.
 	Ticks <-chan time.Time
 	// CallTimeout bounds calls whose context has no earlier end.
 	CallTimeout time.Duration
@@ -109,6 +111,9 @@
 	if o.KeepEntries == 0 {
 		o.KeepEntries = defaultKeepEntries
 	}
+	if o.Tick == 0 {
+		o.Tick = TickInterval
+	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
@@ -149,7 +154,7 @@
 	}
 	ticks := n.options.Ticks
 	if ticks == nil {
-		ticker := time.NewTicker(TickInterval)
+		ticker := time.NewTicker(n.options.Tick)
 		defer ticker.Stop()
 		ticks = ticker.C
 	}
--- a/internal/replicalink/link.go
+++ b/internal/replicalink/link.go
@@ -24,11 +24,16 @@
 	Messages = "replica-messages"
 	// Identify carries a Hello one way and an Identity back.
 	Identify = "replica-identify"
+	// Join carries a Hello one way and an Admission back.
+	Join = "replica-join"
 )
 
 // Errors is the namespace of this package's error types.
 var Errors = errorx.NewNamespace("replicalink")
 
+// NotAdmitted says that a replica was not added.
+var NotAdmitted = Errors.NewType("not_admitted", errorx.Temporary())
+
 // TooLong refuses a batch that is longer than any replica sends.
 var TooLong = Errors.NewType("too_long")
 
@@ -49,6 +54,15 @@
 	Founders quorum.Membership `cbor:"4,keyasint"`
 }
 
+// Admission answers a replica that asks to be added.
+type Admission struct {
+	Accepted bool `cbor:"1,keyasint"`
+	// Leader is the address of the replica that can add others, where known.
+	Leader string `cbor:"2,keyasint,omitempty"`
+	// Reason tells why the replica was not added.
+	Reason string `cbor:"3,keyasint,omitempty"`
+}
+
 // part is a piece of an encoded batch; batches may exceed one peer message.
 type part struct {
 	Data []byte `cbor:"1,keyasint"`
@@ -80,8 +94,10 @@
 	Receive func([]quorum.Message)
 	// Identity tells about this replica.
 	Identity func() Identity
-	Now      func() time.Time
-	Log      *zap.Logger
+	// Admit decides about a replica that asks to be added.
+	Admit func(ctx context.Context, who quorum.Member) Admission
+	Now   func() time.Time
+	Log   *zap.Logger
 }
 
 // Link is a replica.Transport. It is safe for concurrent use.
@@ -210,6 +226,15 @@
 	}
 }
 
+// HandleJoin serves a stream of kind Join.
+func (l *Link) HandleJoin(ctx context.Context, from keys.Info, s *peer.Stream) {
+	hello, ok := l.greet(from, s)
+	if !ok {
+		return
+	}
+	_ = s.Send(l.options.Admit(ctx, hello.From)) // an error is the peer's loss
+}
+
 // greet reads the Hello of a control process; others are refused.
 func (l *Link) greet(from keys.Info, s *peer.Stream) (Hello, bool) {
 	var hello Hello
@@ -223,21 +248,45 @@
 
 // Identify asks the replica at addr who it is.
 func (l *Link) Identify(ctx context.Context, addr netip.AddrPort) (Identity, error) {
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
-	defer cancel()
 	var identity Identity
-	s, err := l.options.Pool.Open(ctx, addr, Identify)
+	return identity, l.ask(ctx, addr, Identify, openTimeout, &identity)
+}
+
+// joinTimeout bounds a request to be added, which waits for a commit.
+const joinTimeout = 6 * time.Second
+
+// Join asks the replica at addr to add this one. It returns the address of the
+// leader where the replica at addr is not it.
+func (l *Link) Join(ctx context.Context, addr netip.AddrPort) (leader netip.AddrPort, err error) {
+	var admission Admission
+	if err := l.ask(ctx, addr, Join, joinTimeout, &admission); err != nil {
+		return netip.AddrPort{}, err
+	}
+	if admission.Reason != "" {
+		return netip.AddrPort{}, NotAdmitted.New("replica at %s: %s", addr, admission.Reason)
+	}
+	leader, err = netip.ParseAddrPort(admission.Leader)
+	if err != nil {
+		return netip.AddrPort{}, NotAdmitted.Wrap(err, "replica at %s names no leader", addr)
+	}
+	return leader, nil
+}
+
+// ask sends a Hello on a stream of a kind and reads the answer.
+func (l *Link) ask(ctx context.Context, addr netip.AddrPort, kind string, limit time.Duration, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	s, err := l.options.Pool.Open(ctx, addr, kind)
 	if err != nil {
-		return identity, err
+		return err
 	}
 	defer s.Abort()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	if err := s.Send(Hello{From: l.options.Self}); err != nil {
-		return identity, err
+		return err
 	}
-	err = s.Recv(&identity)
-	return identity, err
+	return s.Recv(answer)
 }
 
 // lastHeard returns when a message from addr arrived last.
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -145,7 +145,7 @@
 		subscribe.Run(ctx, subscribe.Options{
 			Name:      o.ID,
 			Keys:      []string{proto.ServiceKey(o.Service), proto.ViewKey(o.Service)},
-			Control:   o.Control,
+			Control:   subscribe.Fixed(o.Control...),
 			Pool:      a.pool,
 			Adopt:     a.adopt,
 			Confirmed: a.requests.Confirm,
--- a/internal/role/balancer/balancer.go
+++ b/internal/role/balancer/balancer.go
@@ -126,7 +126,7 @@
 	b.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
 			Name:    o.Name,
-			Control: o.Control,
+			Control: subscribe.Fixed(o.Control...),
 			Pool:    b.pool,
 			Adopt:   b.adopt,
 			Now:     o.Now,
--- a/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -45,9 +45,10 @@
 }
 
 // registryOptions returns what the settings mean for membership.
-func registryOptions(s fleet.Settings) lease.Options {
+func (o *Options) registryOptions(s fleet.Settings) lease.Options {
 	return lease.Options{
 		Lease:      s.Lease,
+		Collect:    o.Collect,
 		WarmFor:    s.Warming,
 		MaxEjected: float64(s.MaxEjected) / 100,
 	}
@@ -84,13 +85,10 @@
 	}
 	c.configuration = configuration{revision: m.Revision(), document: m.Document(), drains: m.Drains()}
 	now := c.options.Now()
-	var services []proto.Service
 	c.configuration.resolver = fleet.NewResolver(c.configuration.document, now)
-	for i := range c.configuration.document.Services {
-		services = append(services, c.service(&c.configuration.document.Services[i]))
-	}
+	services := c.effectiveServices()
 	c.replaceServices(services)
-	c.registry.SetOptions(registryOptions(c.configuration.document.Defaults))
+	c.registry.SetOptions(c.options.registryOptions(c.configuration.document.Defaults))
 	c.setWeights()
 	var drained []string
 	for _, d := range c.configuration.drains {
@@ -102,7 +100,27 @@
 		zap.Uint64("version", m.Version()), zap.Uint64("revision", m.Revision()), zap.Int("services", len(services)))
 }
 
-// service returns what daemons are told of a service.
+// effectiveServices returns what daemons are told of all services.
+func (c *term) effectiveServices() []proto.Service {
+	document := c.configuration.document
+	inbound := make(map[string][]proto.Inbound)
+	for i := range document.Listeners {
+		l := &document.Listeners[i]
+		for _, p := range l.Portions {
+			if p.Weight > 0 {
+				inbound[p.Service] = append(inbound[p.Service], proto.Inbound{Addr: l.Address, Weight: p.Weight})
+			}
+		}
+	}
+	services := make([]proto.Service, len(document.Services))
+	for i := range document.Services {
+		services[i] = c.service(&document.Services[i])
+		services[i].Inbound = inbound[services[i].Name]
+	}
+	return services
+}
+
+// service returns what daemons are told of a service, apart from its listeners.
 func (c *term) service(s *fleet.Service) proto.Service {
 	return proto.Service{
 		ID: s.ID, Name: s.Name, Mode: proto.Mode(s.Mode), Addresses: s.Addresses,
@@ -129,11 +147,7 @@
 	}
 	c.configuration.resolver = fleet.NewResolver(document, now)
 	c.setWeights()
-	var services []proto.Service
-	for i := range document.Services {
-		services = append(services, c.service(&document.Services[i]))
-	}
-	c.replaceServices(services)
+	c.replaceServices(c.effectiveServices())
 }
 
 func (c *term) setServices(services []proto.Service) {
--- a/internal/role/control/control.go
+++ b/internal/role/control/control.go
@@ -53,6 +53,10 @@
 	Group Group
 	// Pool connects to the leader of the group.
 	Pool *peer.Pool
+	// Collect is how long a new leader waits for announcements; 0 for one lease.
+	Collect time.Duration
+	// Silence is how long a connection may be silent; 0 for the default.
+	Silence time.Duration
 	// Fleet is the replicated state, nil where SetServices is used instead.
 	Fleet Fleet
 	// Now is the clock.
@@ -94,7 +98,7 @@
 	} else {
 		maps.Copy(handlers, o.Group.Handlers())
 	}
-	server, err := peer.Listen(peer.ServerOptions{Addr: o.Listen, TLS: o.TLS, Log: o.Log, Handlers: handlers})
+	server, err := peer.Listen(peer.ServerOptions{Addr: o.Listen, TLS: o.TLS, Log: o.Log, Handlers: handlers, Silence: o.Silence})
 	if err != nil {
 		c.cancel()
 		return nil, err
--- a/internal/role/control/term.go
+++ b/internal/role/control/term.go
@@ -55,7 +55,7 @@
 		options:  o,
 		epoch:    epoch,
 		current:  make(chan struct{}),
-		registry: lease.NewRegistry(registryOptions(fleet.DefaultSettings())),
+		registry: lease.NewRegistry(o.registryOptions(fleet.DefaultSettings())),
 		started:  o.Now(),
 	}
 	options := subscribe.PublisherOptions{Epoch: epoch, Now: o.Now}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -17,8 +17,10 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"fulmarmount.org/fulmarmount/internal/adapter"
 	"fulmarmount.org/fulmarmount/internal/embedded"
 	"fulmarmount.org/fulmarmount/internal/handover"
+	"fulmarmount.org/fulmarmount/internal/logsink"
 	"fulmarmount.org/fulmarmount/internal/node"
 	"fulmarmount.org/fulmarmount/internal/settings"
 )
@@ -27,6 +29,11 @@
 type Options struct {
 	// Config is the path of the settings file; none runs the embedded default.
 	Config string
+	// Base is the folder that relative paths in the settings are taken from;
+	// empty for that of the settings file.
+	Base string
+	// Platform speaks the protocols of the platform; nil for none.
+	Platform adapter.Platform
 	// Spray is the number of balancers that share the service addresses.
 	Spray int
 	// Output receives what the operator is told.
@@ -41,7 +48,7 @@
 	if o.Config == "" {
 		return runEmbedded(ctx, o)
 	}
-	s, err := settings.Load(o.Config)
+	s, err := settings.Load(o.Config, o.Base)
 	if err != nil {
 		return err
 	}
@@ -49,8 +56,10 @@
 	if err != nil {
 		return err
 	}
-	n.Spray = o.Spray
-	return serve(ctx, n)
+	n.Spray, n.Platform = o.Spray, o.Platform
+	watcher := newWatcher(o, n)
+	go watcher.run(ctx)
+	return serve(ctx, n, watcher.reload)
 }
 
 // runEmbedded runs the embedded default beside its stand-in services.
@@ -69,7 +78,7 @@
 		services.Await(ctx)
 		_, _ = fmt.Fprint(o.Output, services.Guide())
 	}
-	return serve(ctx, n)
+	return serve(ctx, n, func() {})
 }
 
 // load makes the parts that every process has.
@@ -85,7 +94,7 @@
 }
 
 // serve starts the process, waits for ctx and stops it gracefully.
-func serve(ctx context.Context, o node.Options) error {
+func serve(ctx context.Context, o node.Options, reload func()) error {
 	inherited, err := takeOver(o)
 	if err != nil {
 		return err
@@ -101,13 +110,14 @@
 	if o.Ready != nil {
 		o.Ready()
 	}
-	stop := handleSignals(dumper, o)
+	stop := handleSignals(dumper, o, reload)
 	defer stop()
 	select {
 	case <-ctx.Done():
 	case <-succession.Left():
 	}
 	o.Log.Named("process").Info("Stopping.", zap.Duration("limit", o.Settings.StopTimeout))
+	defer func() { _ = o.Log.Sync() }()
 	stopCtx, cancel := context.WithTimeout(context.Background(), o.Settings.StopTimeout+node.CloseTime)
 	defer cancel()
 	return app.Stop(stopCtx)
@@ -131,9 +141,9 @@
 	return app.Start(ctx)
 }
 
-// handleSignals writes the state dump to standard error at each SIGUSR1 and
-// reads the keys again at each SIGHUP.
-func handleSignals(d *node.Dumper, o node.Options) (stop func()) {
+// handleSignals writes the state dump to standard error at each SIGUSR1, and
+// reads keys and settings again at each SIGHUP.
+func handleSignals(d *node.Dumper, o node.Options, reload func()) (stop func()) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
 	log := o.Log.Named("process")
@@ -141,6 +151,7 @@
 		for s := range signals {
 			if s == syscall.SIGHUP {
 				reloadKeys(o, log)
+				reload()
 				continue
 			}
 			if err := d.Write(os.Stderr); err != nil {
@@ -167,14 +178,18 @@
 	log.Info("Reloaded the keys.")
 }
 
+// maxSameLines bounds the lines of one text in a second; beyond it, one in so
+// many is written.
+const maxSameLines = 1000
+
 func newLog(level string) (*zap.Logger, error) {
-	config := zap.NewProductionConfig()
-	parsed, err := zap.ParseAtomicLevel(level)
+	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
-	config.Level = parsed
-	config.DisableStacktrace = true
-	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	return config.Build()
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), logsink.New(os.Stdout), parsed)
+	sampled := zapcore.NewSamplerWithOptions(logsink.PlainErrors(core), time.Second, maxSameLines, maxSameLines)
+	return zap.New(sampled), nil
 }
--- /dev/null
+++ b/internal/segment/announce.go
@@ -0,0 +1,194 @@
+package segment
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarmount.org/core/steer"
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/fulmarmount/internal/pace"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/subscribe"
+)
+
+const (
+	// renewInterval is the time between announcements until control has told
+	// the lease.
+	renewInterval = time.Second
+	// renewals is the number of announcements in one lease.
+	renewals = 3
+	// answerLimit bounds the wait for the answer to an announcement.
+	answerLimit = time.Second
+	// serialBits is the room for the announcements of one report.
+	serialBits = 24
+)
+
+// Heard takes what the backend server says of itself. An error of type
+// BadAnnouncement names no backend server to use; one of type Stale is from a
+// run that has ended.
+func (a *Agent) Heard(i Instance) error {
+	if i.Address != a.options.Backend {
+		return BadAnnouncement.New("backend server %q is at %s, not beside this agent at %s", i.ID, i.Address, a.options.Backend)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	known := a.instance
+	switch {
+	case i.Run < known.Run:
+		return Stale.New("run %d of %q is older than run %d of %q", i.Run, i.ID, known.Run, known.ID)
+	case i.Run == known.Run && i.Sequence < known.Sequence:
+		return Stale.New("report %d of %q is older than report %d", i.Sequence, i.ID, known.Sequence)
+	}
+	if i.Run > known.Run {
+		a.begin(i)
+	}
+	standing := steer.Serving
+	if i.Draining {
+		standing = steer.Draining
+	}
+	changed := i.Run != known.Run || i.Draining != known.Draining || i.Slots != known.Slots
+	a.instance, a.serial = i, 0
+	a.host.SetStanding(standing)
+	a.reports.Add(1)
+	if changed {
+		a.options.Log.Info("Backend server's standing changed.", zap.String("id", i.ID), zap.String("service", i.Service),
+			zap.Uint64("run", i.Run), zap.Stringer("standing", standing), zap.Duration("warming", i.Warming))
+		a.kick()
+	}
+	return nil
+}
+
+// begin notes a new run of the backend server. The caller holds the lock.
+func (a *Agent) begin(i Instance) {
+	first := a.instance.Run == 0 && i.Sequence > 1
+	a.host.Begin(first)
+	if i.Service != a.options.Service {
+		a.options.Log.Warn("Backend server serves another service.", zap.String("service", i.Service), zap.String("before", a.options.Service))
+		a.options.Service, a.service = i.Service, 0
+		a.host.SetService(0, view.Version{}, nil)
+		a.subscribe(i.Service)
+	}
+}
+
+// Goodbye notes that a backend server has left.
+func (a *Agent) Goodbye(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if id != a.instance.ID {
+		a.options.Log.Info("Ignored the goodbye of another backend server.", zap.String("id", id))
+		return
+	}
+	a.host.SetStanding(steer.Left)
+	a.options.Log.Info("Backend server's standing changed.", zap.String("id", id), zap.Stringer("standing", steer.Left))
+	a.kick()
+}
+
+// subscribe follows the configuration of a service in place of the one before.
+func (a *Agent) subscribe(service string) {
+	if a.follow != nil {
+		a.follow()
+	}
+	ctx, cancel := context.WithCancel(a.ctx)
+	a.follow = cancel
+	adopt := func(u proto.Update) {
+		if ctx.Err() == nil {
+			a.adopt(u)
+		}
+	}
+	a.tasks.Go(func() {
+		subscribe.Run(ctx, subscribe.Options{
+			Name: a.options.Name, Keys: []string{proto.ServiceKey(service)}, Control: a.options.Control,
+			Retry: a.options.Retry, Pool: a.pool, Adopt: adopt, Now: a.options.Now, Log: a.options.Log,
+		})
+	})
+}
+
+// announce renews the lease until ctx ends. A connection that has gone silent is
+// replaced by a fresh one before another control process is tried.
+func (a *Agent) announce(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		control := a.options.Control()
+		addr := control[i%len(control)]
+		if err := a.renew(ctx, addr); err != nil && ctx.Err() == nil {
+			a.options.Log.Warn("Lost the lease's connection.", zap.Stringer("control", addr), zap.Error(err))
+		}
+		pace.Sleep(ctx, pace.Jitter(a.options.Retry.First))
+	}
+}
+
+// renew announces on one stream until it fails.
+func (a *Agent) renew(ctx context.Context, control netip.AddrPort) error {
+	dial, stopDial := context.WithTimeout(ctx, a.options.Retry.Dial)
+	s, err := a.pool.Open(dial, control, proto.Announce)
+	stopDial()
+	if err != nil {
+		return err
+	}
+	defer s.Abort()
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	for {
+		wait := renewInterval
+		if announcement, ok := a.announcement(); ok {
+			if wait, err = a.exchange(s, announcement); err != nil {
+				return err
+			}
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-a.changed:
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+}
+
+// exchange announces once and returns the time until the next announcement.
+func (a *Agent) exchange(s *peer.Stream, announcement view.Announcement) (time.Duration, error) {
+	if err := s.Send(announcement); err != nil {
+		return 0, err
+	}
+	if err := s.SetReadDeadline(time.Now().Add(answerLimit)); err != nil {
+		return 0, err
+	}
+	var reply proto.AnnounceReply
+	if err := s.Recv(&reply); err != nil {
+		return 0, err
+	}
+	if !reply.Accepted {
+		a.options.Log.Warn("Control refused the announcement.", zap.String("reason", reply.Reason))
+		return min(renewInterval, a.options.Retry.First), nil
+	}
+	if reply.Lease <= 0 {
+		return renewInterval, nil
+	}
+	return reply.Lease / renewals, nil
+}
+
+// announcement returns what to tell control; false before the backend server was
+// heard. Its run and reports number the announcements, so that they grow across
+// restarts of the agent.
+func (a *Agent) announcement() (view.Announcement, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.instance.Run == 0 {
+		return view.Announcement{}, false
+	}
+	a.serial++
+	load := a.host.Load()
+	ended := a.host.Ended()
+	return view.Announcement{
+		Service: a.instance.Service, ID: a.instance.ID, Zone: a.options.Zone,
+		Incarnation: view.Incarnation(a.instance.Run), Packets: a.conn.Addr(), Requests: a.conn.Addr(),
+		Slots: a.instance.Slots, Draining: a.instance.Draining || ended, Healthy: !ended,
+		Sequence: a.instance.Sequence<<serialBits + a.serial, Load: load.Running, Flows: load.Flows, Authoritative: true,
+	}, true
+}
--- /dev/null
+++ b/internal/segment/balancer.go
@@ -0,0 +1,388 @@
+package segment
+
+import (
+	"context"
+	"crypto/tls"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"fulmarmount.org/core/flow"
+	"fulmarmount.org/core/steer"
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/fulmarmount/internal/histogram"
+	"fulmarmount.org/fulmarmount/internal/packet"
+	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/subscribe"
+	"fulmarmount.org/fulmarmount/internal/udp"
+)
+
+// Common are the options that both roles share.
+type Common struct {
+	// Name is the VM's name.
+	Name string
+	// Zone is the availability zone.
+	Zone string
+	// Control returns the addresses of control processes.
+	Control func() []netip.AddrPort
+	Retry   subscribe.Retry
+	// Silence is how long a connection to control may be silent.
+	Silence time.Duration
+	// Packets is the UDP address for envelopes.
+	Packets netip.AddrPort
+	// ReturnPort is the port at which callers take packets.
+	ReturnPort uint16
+	// TLS returns the settings of a connection to control.
+	TLS func() *tls.Config
+	// Keys seal the envelopes.
+	Keys packet.Keys
+	// Session is a random number for this run's envelopes.
+	Session uint64
+	Codec   Codec
+	// Now is the clock.
+	Now func() time.Time
+	Log *zap.Logger
+}
+
+// BalancerOptions configure a Balancer.
+type BalancerOptions struct {
+	Common
+	// Callers is the UDP address at which callers' packets arrive.
+	Callers netip.AddrPort
+	// LeaveTime is how long a stopping balancer goes on for the callers that
+	// the fabric still sends to it.
+	LeaveTime time.Duration
+}
+
+// Balancer is the running balancer role.
+type Balancer struct {
+	options BalancerOptions
+	steer   *steer.Balancer
+	callers *udp.Conn
+	envelopes
+	counts    counters
+	decisions *decisions
+	placing   histogram.Histogram
+	pool      *peer.Pool
+	started   time.Time
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
+	leaving   atomic.Bool
+	// placed holds when flows were first sent to a member.
+	placed times
+
+	mu        sync.RWMutex
+	positions map[view.ServiceID]view.Version
+	services  map[string]proto.Service // used by the subscription alone
+}
+
+// StartBalancer opens the sockets and follows control until Stop.
+func StartBalancer(o BalancerOptions) (*Balancer, error) {
+	callers, err := udp.Listen(udp.Options{Addr: o.Callers, ReadBuffer: readBuffer})
+	if err != nil {
+		return nil, err
+	}
+	conn, err := udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: readBuffer})
+	if err != nil {
+		_ = callers.Close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Balancer{
+		options: o, steer: steer.NewBalancer(o.Zone), callers: callers, started: o.Now(), cancel: cancel,
+		pool: newPool(o.Common), decisions: newDecisions(), placed: newTimes(),
+		positions: make(map[view.ServiceID]view.Version), services: make(map[string]proto.Service),
+	}
+	b.envelopes = envelopes{
+		conn: conn, sealer: packet.NewSealer(o.Keys, o.Session), opener: packet.NewOpener(o.Keys, o.Now),
+		log: o.Log, counts: &b.counts,
+	}
+	b.tasks.Go(b.readCallers)
+	b.tasks.Go(func() { b.read(b.receive) })
+	b.tasks.Go(func() {
+		subscribe.Run(ctx, subscribe.Options{
+			Name: o.Name, Control: o.Control, Retry: o.Retry, Pool: b.pool,
+			Adopt: b.adopt, Confirmed: b.confirmed, Now: o.Now, Log: o.Log,
+		})
+	})
+	return b, nil
+}
+
+// readBuffer is the kernel's receive buffer that is asked for, in bytes.
+const readBuffer = 4 << 20
+
+func newPool(o Common) *peer.Pool {
+	p := peer.NewPool(o.TLS)
+	p.SetSilence(o.Silence)
+	return p
+}
+
+func (b *Balancer) elapsed() time.Duration { return b.options.Now().Sub(b.started) }
+
+// Ready reports whether callers may be sent here.
+func (b *Balancer) Ready() bool { return b.steer.Current() && !b.leaving.Load() }
+
+// Stop goes on for LeaveTime while it is not ready, then closes the sockets.
+func (b *Balancer) Stop(ctx context.Context) error {
+	b.leaving.Store(true)
+	leave, cancel := context.WithTimeout(ctx, b.options.LeaveTime)
+	defer cancel()
+	<-leave.Done()
+	b.cancel()
+	_ = b.callers.Close()
+	err := b.conn.Close()
+	b.pool.Close()
+	b.tasks.Wait()
+	return err
+}
+
+func (b *Balancer) confirmed(asOf time.Time) {
+	if !b.steer.Current() {
+		b.options.Log.Info("Configuration is current.", zap.Time("as_of", asOf))
+	}
+	b.steer.Confirm()
+}
+
+// adopt puts an update in force.
+func (b *Balancer) adopt(u proto.Update) {
+	now, t := b.elapsed(), b.steer.Table()
+	if len(u.Services) > 0 || len(u.Removed) > 0 {
+		b.setServices(u)
+		t = t.WithRoutes(now, b.routes())
+		b.options.Log.Info("Adopted a configuration.", zap.Int("addresses", t.Routes()))
+	}
+	for _, v := range u.Views {
+		t = t.WithView(now, v)
+		b.options.Log.Info("Adopted a view.", zap.Uint32("service", uint32(v.Service)),
+			zap.Stringer("version", v.Version), zap.Int("members", len(v.Members)), zap.Int("targets", len(v.Targets())))
+	}
+	b.steer.Adopt(t)
+}
+
+func (b *Balancer) setServices(u proto.Update) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, name := range u.Removed {
+		delete(b.services, name)
+	}
+	for _, s := range u.Services {
+		b.services[s.Name] = s
+		b.positions[s.ID] = s.Version
+	}
+}
+
+// routes returns the addresses of all services of mode segment.
+func (b *Balancer) routes() steer.Routes {
+	routes := make(steer.Routes)
+	for _, s := range b.services {
+		for _, in := range s.Inbound {
+			routes[in.Addr] = insertPortion(routes[in.Addr], steer.Portion{Service: s.ID, Weight: in.Weight})
+		}
+	}
+	return routes
+}
+
+// insertPortion keeps portions in the order of their services, so that all
+// balancers choose alike.
+func insertPortion(list []steer.Portion, p steer.Portion) []steer.Portion {
+	i := len(list)
+	for i > 0 && list[i-1].Service > p.Service {
+		i--
+	}
+	list = append(list, steer.Portion{})
+	copy(list[i+1:], list[i:])
+	list[i] = p
+	return list
+}
+
+func (b *Balancer) position(id view.ServiceID) view.Version {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.positions[id]
+}
+
+// readCallers steers the packets of callers until the socket is closed.
+func (b *Balancer) readCallers() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, _, err := b.callers.Read(buf)
+		if err != nil {
+			return
+		}
+		h, err := b.options.Codec.Decode(buf[:n], FromCaller)
+		if err != nil {
+			b.counts.garbled.Add(1)
+			b.options.Log.Debug("Dropped a packet that cannot be read.", zap.Stringer("from", from), zap.Error(err))
+			continue
+		}
+		now := b.elapsed()
+		b.carryOut(now, &h.Segment, b.steer.Steer(now, &h.Segment), buf[:n])
+	}
+}
+
+// receive takes the envelopes of agents.
+func (b *Balancer) receive(h *packet.Header, payload []byte) {
+	switch h.Kind {
+	case packet.Returned:
+		b.returned(h, payload)
+	case packet.Note:
+		b.noted(h, payload)
+	default:
+		b.counts.refused.Add(1)
+	}
+}
+
+func (b *Balancer) returned(h *packet.Header, payload []byte) {
+	segment, err := b.options.Codec.Decode(payload, FromCaller)
+	if err != nil || h.Flow.Denials == 0 {
+		b.counts.garbled.Add(1)
+		return
+	}
+	b.decisions.returned.Add(1)
+	now := b.elapsed()
+	decision := b.steer.Returned(now, &segment.Segment, steer.Return{
+		Service: h.Flow.Service, Seed: h.Flow.Denied[0], Hops: h.Flow.Hops,
+		Informed: h.Flow.Informed, Ended: h.Flow.Answer,
+	})
+	b.carryOut(now, &segment.Segment, decision, payload)
+}
+
+func (b *Balancer) noted(h *packet.Header, payload []byte) {
+	var n note
+	if err := cbor.Unmarshal(payload, &n); err != nil {
+		b.counts.garbled.Add(1)
+		b.options.Log.Warn("Could not read a note.", zap.Stringer("from", h.ReplyTo), zap.Error(err))
+		return
+	}
+	b.counts.notes.Add(1)
+	now := b.elapsed()
+	b.steer.Report(now, n.Service, n.Seed, n.Load)
+	if !n.Held {
+		return
+	}
+	id := h.Flow.Tuple.ID()
+	b.steer.Held(now, id, n.Service, n.Seed)
+	if at, ok := b.placed.take(id); ok {
+		b.placing.Add(now - at)
+	}
+}
+
+// carryOut does what was decided about a segment.
+func (b *Balancer) carryOut(now time.Duration, s *steer.Segment, d steer.Decision, payload []byte) {
+	b.decisions.byReason[d.Reason].Add(1)
+	switch d.Verdict {
+	case steer.Forward:
+		if d.Reason == steer.Placed && s.Copy == 0 {
+			b.placed.put(now, s.Tuple.ID())
+		}
+		b.forward(s, d, payload)
+	case steer.Reset:
+		b.reset(s)
+	}
+	b.logDecision(s, d)
+}
+
+func (b *Balancer) forward(s *steer.Segment, d steer.Decision, payload []byte) {
+	b.send(d.To.Addr, &packet.Header{
+		Kind: packet.Forward, ReplyTo: b.conn.Addr(),
+		Flow: flow.Packet{
+			Service: d.Service, Ballot: flow.Ballot{Version: b.position(d.Service)}, Target: d.To.Incarnation,
+			Tuple: s.Tuple, Hops: d.Hops, Informed: d.Informed,
+		},
+	}, payload)
+}
+
+func (b *Balancer) reset(s *steer.Segment) {
+	b.decisions.resets.Add(1)
+	to := netip.AddrPortFrom(s.Tuple.Caller.Addr(), b.options.ReturnPort)
+	if err := b.callers.Write(b.options.Codec.AppendReset(nil, s), to); err != nil {
+		b.counts.failed.Add(1)
+		b.options.Log.Warn("Could not send a reset.", zap.Stringer("to", to), zap.Error(err))
+	}
+}
+
+// logDecision writes one line for each decision that is not a repetition.
+func (b *Balancer) logDecision(s *steer.Segment, d steer.Decision) {
+	if d.Reason == steer.Remembered {
+		return
+	}
+	b.options.Log.Info(decisionText[d.Verdict],
+		zap.Stringer("caller", s.Tuple.Caller), zap.Stringer("address", s.Tuple.Service),
+		zap.Bool("opens", s.Opens()), zap.Uint32("copy", s.Copy), zap.Stringer("reason", d.Reason),
+		zap.Stringer("to", d.To.Addr), zap.Uint8("hops", d.Hops))
+}
+
+var decisionText = map[steer.Verdict]string{
+	steer.Forward: "Sent a segment to a member.",
+	steer.Reset:   "Reset a flow.",
+	steer.Drop:    "Dropped a segment.",
+}
+
+// BalancerDump is the state of a balancer.
+type BalancerDump struct {
+	Callers   netip.AddrPort           `json:"callers"`
+	Envelopes netip.AddrPort           `json:"envelopes"`
+	Ready     bool                     `json:"ready"`
+	Services  map[string]proto.Service `json:"services"`
+	Counters  any                      `json:"counters"`
+}
+
+// Dump returns the state of the role.
+func (b *Balancer) Dump() any {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	services := make(map[string]proto.Service, len(b.services))
+	for name, s := range b.services {
+		services[name] = s
+	}
+	return BalancerDump{
+		Callers: b.callers.Addr(), Envelopes: b.conn.Addr(), Ready: b.Ready(), Services: services, Counters: b.Counters(),
+	}
+}
+
+// Counters returns the counts of the role.
+func (b *Balancer) Counters() any {
+	return BalancerCounters{
+		Decisions: b.decisions.byName(), Returned: b.decisions.returned.Load(), Resets: b.decisions.resets.Load(),
+		Notes: b.counts.notes.Load(), Failed: b.counts.failed.Load(), Refused: b.counts.refused.Load(),
+		Garbled: b.counts.garbled.Load(), Flows: b.steer.Flows(), Placing: b.placing.Summary(),
+	}
+}
+
+// maxTimes bounds the flows whose placing is being measured.
+const maxTimes = 4096
+
+// times holds when something began for flows.
+type times struct {
+	mu *sync.Mutex
+	at map[flow.ID]time.Duration
+}
+
+func newTimes() times { return times{mu: &sync.Mutex{}, at: make(map[flow.ID]time.Duration)} }
+
+// put notes a beginning. Where too many never ended, all are forgotten.
+func (t *times) put(now time.Duration, id flow.ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.at) >= maxTimes {
+		clear(t.at)
+	}
+	t.at[id] = now
+}
+
+// take returns a beginning and forgets it.
+func (t *times) take(id flow.ID) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.at[id]
+	delete(t.at, id)
+	return at, ok
+}
+
+// tickInterval is how often an agent looks at its timers.
+const tickInterval = 100 * time.Millisecond
--- /dev/null
+++ b/internal/segment/envelope.go
@@ -0,0 +1,91 @@
+package segment
+
+import (
+	"net/netip"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"fulmarmount.org/core/flow"
+	"fulmarmount.org/core/steer"
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/fulmarmount/internal/packet"
+	"fulmarmount.org/fulmarmount/internal/udp"
+)
+
+// maxDatagram is the room for one datagram with its envelope, in bytes.
+const maxDatagram = 4096
+
+// note is what an agent tells a balancer.
+type note struct {
+	Seed    uint64         `cbor:"1,keyasint"`
+	Service view.ServiceID `cbor:"2,keyasint"`
+	Load    steer.Load     `cbor:"3,keyasint"`
+	// Held is set where the header's flow is at the agent's backend server.
+	Held bool `cbor:"4,keyasint,omitempty"`
+}
+
+// envelopes is the socket between balancers and agents.
+type envelopes struct {
+	conn   *udp.Conn
+	sealer *packet.Sealer
+	opener *packet.Opener
+	log    *zap.Logger
+	counts *counters
+
+	mu  sync.Mutex
+	buf []byte
+}
+
+// send seals and sends one envelope.
+func (e *envelopes) send(to netip.AddrPort, h *packet.Header, payload []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sealed, err := e.sealer.Seal(e.buf[:0], h, payload)
+	if err == nil {
+		e.buf = sealed
+		err = e.conn.Write(sealed, to)
+	}
+	if err != nil {
+		e.counts.failed.Add(1)
+		e.log.Warn("Could not send an envelope.", zap.Stringer("to", to), zap.Error(err))
+	}
+}
+
+// read hands on each envelope that opens, until the socket is closed.
+func (e *envelopes) read(handle func(h *packet.Header, payload []byte)) {
+	buf := make([]byte, maxDatagram)
+	var header packet.Header
+	for {
+		n, from, _, err := e.conn.Read(buf)
+		if err != nil {
+			return
+		}
+		payload, err := e.opener.Open(buf[:n], &header)
+		if err != nil {
+			e.counts.refused.Add(1)
+			e.log.Debug("Refused an envelope.", zap.Stringer("from", from), zap.Error(err))
+			continue
+		}
+		handle(&header, payload)
+	}
+}
+
+// sendNote tells a balancer about a flow, or about the load alone.
+func (e *envelopes) sendNote(to netip.AddrPort, tuple flow.Tuple, n note) {
+	payload, err := cbor.Marshal(n)
+	if err != nil {
+		e.log.Error("Could not encode a note.", zap.Error(err))
+		return
+	}
+	e.send(to, &packet.Header{
+		Kind: packet.Note, ReplyTo: e.conn.Addr(), Flow: flow.Packet{Service: n.Service, Tuple: tuple},
+	}, payload)
+}
+
+// noTuple fills the header of a note that is about no flow.
+var noTuple = flow.Tuple{
+	Caller:  netip.AddrPortFrom(netip.IPv4Unspecified(), 0),
+	Service: netip.AddrPortFrom(netip.IPv4Unspecified(), 0),
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -13,6 +13,7 @@
 	process := p.section("process")
 	for role, section := range map[Role]string{RoleControl: "control", RoleBalancer: "balancer"} {
 		switch {
+		case role == RoleBalancer && out.Segments != nil:
 		case out.Has(role) && !p.has(section):
 			process.Fail("roles", "role %q needs section [%s]", role, section)
 		case !out.Has(role) && p.has(section):
@@ -20,7 +21,9 @@
 		}
 	}
 	switch {
-	case out.Has(RoleAgent) && len(out.Agents) == 0:
+	case out.Segments != nil && (len(out.Agents) > 0 || p.has("balancer")):
+		p.section("segments").Fail("", "a process serves either mode segment or the other modes")
+	case out.Has(RoleAgent) && len(out.Agents) == 0 && out.Segments == nil:
 		process.Fail("roles", "role %q needs a section [agent.SERVICE]", RoleAgent)
 	case !out.Has(RoleAgent) && len(out.Agents) > 0:
 		p.section(agentPrefix+out.Agents[0].Service).Fail("", "the process does not hold role %q", RoleAgent)
@@ -72,6 +75,16 @@
 	claim("tcp", "admin", "remote", out.Admin.Remote)
 	claim("udp", "control", "listen", out.Control.Listen)
 	claim("udp", "balancer", "packets", out.Balancer.Packets)
+	claim("tcp", "process", "metrics", out.Metrics)
+	claim("tcp", "adapter", "readiness", out.Adapter.Readiness)
+	claim("tcp", "adapter", "operators", out.Adapter.Operators)
+	if s := out.Segments; s != nil {
+		claim("udp", "segments", "packets", s.Packets)
+		if out.Has(RoleBalancer) {
+			claim("udp", "segments", "callers", s.Callers)
+		}
+		claim("udp", "segments", "outbound", s.Outbound)
+	}
 	for _, agent := range out.Agents {
 		claim("udp", agentPrefix+agent.Service, "packets", agent.Packets)
 		claim("udp", agentPrefix+agent.Service, "requests", agent.Requests)
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -36,7 +36,9 @@
 )
 
 // Load reads and checks the file at path, the files that it names included.
-func Load(path string) (*Process, error) {
+// Relative paths are taken from base, or from the file's folder where it is
+// empty.
+func Load(path, base string) (*Process, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		var found finding.Findings
@@ -44,6 +46,9 @@
 		return nil, found.Err()
 	}
 	p := newParser(path, data)
+	if base != "" {
+		p.base = base
+	}
 	process := p.parse()
 	p.checkFiles(process)
 	return p.result(process)
@@ -57,14 +62,16 @@
 }
 
 type parser struct {
-	name    string
+	name string
+	// base is the folder that relative paths are taken from.
+	base    string
 	found   finding.Findings
 	file    *inifile.File
 	readers map[string]*inifile.Reader
 }
 
 func newParser(name string, data []byte) *parser {
-	p := &parser{name: name, readers: make(map[string]*inifile.Reader)}
+	p := &parser{name: name, base: filepath.Dir(name), readers: make(map[string]*inifile.Reader)}
 	p.file = inifile.Parse(name, data, &p.found)
 	return p
 }
@@ -81,10 +88,12 @@
 	p.process(process, p.section("process"))
 	p.tls(process, p.section("tls"))
 	p.admin(process, p.section("admin"))
+	p.join(process, p.section("join"))
 	p.control(process, p.section("control"))
-	process.Join.Control = p.section("join").Addrs("control")
 	p.balancer(process, p.section("balancer"))
 	p.agents(process)
+	p.segments(process, p.section("segments"))
+	p.adapter(process, p.section("adapter"))
 	p.checkRoles(process)
 	p.checkAddresses(process)
 	p.done()
@@ -115,6 +124,7 @@
 	out.StopTimeout = r.Duration("stop_timeout", defaultStopTimeout, 0, maxStopTimeout)
 	out.MemoryLimit = r.Int("memory_limit", defaultMemoryLimit, 0, maxMemoryLimit)
 	out.Handover = p.path(r.String("handover", ""))
+	out.Metrics = r.Addr("metrics")
 	for _, item := range r.List("roles") {
 		role := Role(item)
 		switch {
@@ -168,6 +178,11 @@
 	for _, item := range r.List("peers") {
 		p.peer(out, r, item)
 	}
+	p.founders(out, r)
+	out.Control.Join = r.Enum("join", "no", "yes", "no") == "yes"
+	out.Control.Tolerate = r.Int("tolerate", 0, 0, maxPeers/2)
+	out.Control.Tick = r.Duration("tick", 0, 0, maxTick)
+	out.Control.Collect = r.Duration("collect", 0, 0, maxDelay)
 	if len(out.Control.Peers) > maxPeers {
 		r.Fail("peers", "%d replicas are more than %d", len(out.Control.Peers), maxPeers)
 	}
@@ -260,5 +275,5 @@
 	if value == "" || filepath.IsAbs(value) {
 		return value
 	}
-	return filepath.Join(filepath.Dir(p.name), value)
+	return filepath.Join(p.base, value)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,12 +39,18 @@
 	// Handover is the path of the unix socket on which a process and its
 	// successor meet; empty for none.
 	Handover string
+	// Metrics is the HTTP address of the counters; the zero value stands for none.
+	Metrics netip.AddrPort
 
 	TLS      TLS
 	Admin    Admin
 	Control  Control
 	Join     Join
 	Balancer Balancer
+	// Segments is set where the balancer or agent role serves services of mode
+	// segment, and these alone.
+	Segments *Segments
+	Adapter  Adapter
 	// Agents has one entry for each service that the VM's backend servers serve.
 	Agents []Agent
 }
@@ -81,6 +87,18 @@
 	Cluster string
 	// Peers are the replicas of a new cluster, this one included.
 	Peers []Peer
+	// Join is set where a replica without a cluster asks the processes of
+	// [join] control to be added, and the leader keeps the membership by itself.
+	Join bool
+	// Tolerate is the number of replicas whose loss at one time the group is to
+	// survive; 0 lets every replica vote.
+	Tolerate int
+	// Tick is the unit of the replica's time; ten of them without a leader
+	// begin an election.
+	Tick time.Duration
+	// Collect is how long a new leader waits for announcements before it
+	// publishes views; 0 for one lease.
+	Collect time.Duration
 }
 
 // Peer is a control replica.
@@ -93,6 +111,44 @@
 type Join struct {
 	// Control lists addresses of control processes.
 	Control []netip.AddrPort
+	// Retry and RetryMax bound the delays between attempts to reach one, Dial
+	// one attempt; 0 for the defaults.
+	Retry, RetryMax, Dial time.Duration
+	// Silence is how long a connection may be silent; 0 for the default.
+	Silence time.Duration
+}
+
+// Adapter is the HTTP addresses at which the process serves the protocols of the
+// platform that it runs on; zero values stand for none.
+type Adapter struct {
+	// Readiness tells the fabric whether callers may be sent here.
+	Readiness netip.AddrPort
+	// Operators is for operators on control processes, and for the backend
+	// server on agents.
+	Operators netip.AddrPort
+}
+
+// Enabled reports whether any address is set.
+func (a Adapter) Enabled() bool { return a.Readiness.IsValid() || a.Operators.IsValid() }
+
+// Segments is the settings of roles that serve services of mode segment.
+type Segments struct {
+	// Packets is the UDP address for envelopes.
+	Packets netip.AddrPort
+	// Callers is the balancer's UDP address for callers' packets. Callers take
+	// packets at the same port.
+	Callers netip.AddrPort
+	// LeaveTime is how long a stopping balancer goes on.
+	LeaveTime time.Duration
+	// Service, Backend and Outbound are the agent's: the service of its backend
+	// server, where that takes packets, and where it sends them.
+	Service  string
+	Backend  netip.AddrPort
+	Outbound netip.AddrPort
+	// Patience is how long the backend server may be silent.
+	Patience time.Duration
+	// IdleTimeout ends a flow without packets.
+	IdleTimeout time.Duration
 }
 
 // Bind is how a balancer takes the service addresses.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -109,7 +109,7 @@
 slots = 0
 idle_timeout = soon
 `), 0o600))
-	_, err := Load(path)
+	_, err := Load(path, "")
 	lines := []string{
 		":0 [join] control", ":1 [] stray", ":3 [process] name", ":5 [process] roles", ":5 [process] roles",
 		":6 [process] roles", ":7 [process] colour", ":8 [process] log_level", ":9 [process] stop_timeout",
--- a/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -3,6 +3,7 @@
 package subscribe
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -22,8 +23,8 @@
 	Name string
 	// Keys restrict what is followed; empty means everything.
 	Keys []string
-	// Control are the addresses of control processes.
-	Control []netip.AddrPort
+	// Control returns the addresses of control processes, at least one.
+	Control func() []netip.AddrPort
 	// Pool connects to them.
 	Pool *peer.Pool
 	// Adopt is called with what has come in force, by one goroutine.
@@ -32,16 +33,37 @@
 	// by the same goroutine, each time that a later one is known; nil where
 	// nobody asks.
 	Confirmed func(asOf time.Time)
+	// Retry bounds the delays between attempts to reach control.
+	Retry Retry
 	// Now is the clock.
 	Now func() time.Time
 	Log *zap.Logger
 }
 
+// Retry bounds the delays between attempts to reach control. Zero values take
+// the defaults, which suit a fleet whose daemons all come back at once.
+type Retry struct {
+	// First is the range of the first delay, Max that of later ones.
+	First, Max time.Duration
+	// Dial bounds one attempt.
+	Dial time.Duration
+}
+
+func (r Retry) withDefaults() Retry {
+	return Retry{
+		First: cmp.Or(r.First, firstSpread),
+		Max:   cmp.Or(r.Max, maxSpread),
+		Dial:  cmp.Or(r.Dial, dialLimit),
+	}
+}
+
 const (
 	// firstSpread is the range of the first delay before a reconnect.
 	firstSpread = time.Second
 	// maxSpread bounds the range of later ones.
 	maxSpread = 30 * time.Second
+	// dialLimit bounds an attempt to reach control.
+	dialLimit = 5 * time.Second
 	// tickInterval is how often timers are looked at.
 	tickInterval = 50 * time.Millisecond
 )
@@ -58,16 +80,17 @@
 // Run follows the fleet's state until ctx ends. Where control is lost, what is
 // in force stays, and other control processes are tried after a delay.
 func Run(ctx context.Context, o Options) {
+	o.Retry = o.Retry.withDefaults()
 	s := &subscription{options: o, started: o.Now()}
 	store := spread.NewStore(spread.StoreOptions{DropBodies: true})
 	s.sink = spread.NewSink(0, store, spread.SinkOptions{ID: o.Name, Keys: o.Keys})
 	backoff := spread.NewBackoff(spread.BackoffOptions{
-		Spread: firstSpread,
-		Max:    maxSpread,
+		Spread: o.Retry.First,
+		Max:    o.Retry.Max,
 		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	order := relayOrder(o.Name, o.Control)
 	for i := 0; ctx.Err() == nil; i++ {
+		order := relayOrder(o.Name, o.Control())
 		addr := order[i%len(order)]
 		retryAfter, heard, err := s.follow(ctx, addr)
 		if ctx.Err() != nil {
@@ -109,7 +132,9 @@
 	if s.sink.Silent(s.now()) {
 		open = s.options.Pool.OpenFresh
 	}
-	stream, err := open(ctx, addr, proto.Subscribe)
+	dial, stopDial := context.WithTimeout(ctx, s.options.Retry.Dial)
+	stream, err := open(dial, addr, proto.Subscribe)
+	stopDial()
 	if err != nil {
 		return 0, false, err
 	}
@@ -198,3 +223,8 @@
 	s.asOf = asOf
 	s.options.Confirmed(s.started.Add(asOf))
 }
+
+// Fixed returns addresses that never change.
+func Fixed(addrs ...netip.AddrPort) func() []netip.AddrPort {
+	return func() []netip.AddrPort { return addrs }
+}
--- a/internal/subscribe/subscribe_test.go
+++ b/internal/subscribe/subscribe_test.go
@@ -87,7 +87,7 @@
 	go func() {
 		defer close(done)
 		Run(ctx, Options{
-			Name: "balancer", Keys: only, Control: []netip.AddrPort{control}, Pool: pool,
+			Name: "balancer", Keys: only, Control: Fixed(control), Pool: pool,
 			Adopt: func(u proto.Update) { f.updates <- u }, Confirmed: func(at time.Time) { f.confirmed <- at }, Now: time.Now, Log: zap.NewNop(),
 		})
 	}()
--- a/tools/capacity/measure_wire.go
+++ b/tools/capacity/measure_wire.go
@@ -155,7 +155,7 @@
 		var once sync.Once
 		tasks.Go(func() {
 			subscribe.Run(ctx, subscribe.Options{
-				Name: fmt.Sprint("balancer-", i), Control: []netip.AddrPort{t.addr()}, Pool: pool,
+				Name: fmt.Sprint("balancer-", i), Control: subscribe.Fixed(t.addr()), Pool: pool,
 				Adopt: func(proto.Update) { once.Do(func() { close(first) }) }, Now: time.Now, Log: zap.NewNop(),
 			})
 		})
