Reset a flow only where no member can be missing

Cause: a new control leader publishes views before all agents have announced themselves, and a balancer that has just started remembers no earlier members. Change: views are marked partial for two lease times after a change of leader; while one is, a flow that nobody holds is left without an answer. Members that are gone are still asked.

--- a/core/lease/publish.go
+++ b/core/lease/publish.go
@@ -21,7 +21,11 @@
 	}
 	ids = slices.DeleteFunc(ids, func(id string) bool { return s.members[id] == nil })
 	excluded := r.excluded(now, s, ids)
-	changed := s.current == nil || len(ids) != len(s.current.Members)
+	partial := now < r.partial
+	if partial {
+		s.due = min(s.due, r.partial)
+	}
+	changed := s.current == nil || len(ids) != len(s.current.Members) || s.current.Partial && !partial
 	for i, id := range ids {
 		m := s.members[id]
 		m.state, m.weight = r.standing(now, s, m, excluded[id])
@@ -185,6 +189,7 @@
 	}
 	v := view.New(s.id, version, members)
 	v.Earlier = s.earlier(ids)
+	v.Partial = now < r.partial
 	v.Prepare()
 	s.current, s.published = v, now
 	r.stats.Views++
--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -30,6 +30,7 @@
 	epoch    uint64
 	number   uint64
 	collects time.Duration // the end of the time for collecting announcements
+	partial  time.Duration // the end of the time in which views are partial
 	leading  bool
 	stats    Stats
 	// weigh returns the weight of a member at full strength; nil stands for
@@ -67,12 +68,17 @@
 	}
 }
 
+// partialLeases is the number of lease times in which all members have
+// announced themselves to a new leader.
+const partialLeases = 2
+
 // Lead starts an epoch. The registry collects announcements for Options.Collect
 // before it publishes the epoch's first views. Views of an earlier epoch, where
 // known, keep the weights of members that announce themselves again.
 func (r *Registry) Lead(now time.Duration, epoch uint64, earlier []*view.View) {
 	r.epoch, r.number, r.leading = epoch, 0, true
 	r.collects = now + r.options.Collect
+	r.partial = now + partialLeases*r.options.Lease
 	for _, v := range earlier {
 		r.restore(now, v)
 	}
--- a/core/steer/balancer.go
+++ b/core/steer/balancer.go
@@ -35,13 +35,14 @@
 	HostEnded                  // the flow's backend server has ended
 	NotCurrent                 // the configuration is not known to be current
 	SearchBound                // more members than a search may ask
+	ViewPartial                // members that may hold the flow may be missing
 	PlaceBound                 // too many members have turned the flow away
 	reasonsCount = iota
 )
 
 var reasonNames = [reasonsCount]string{
 	"placed", "remembered", "searched", "no_route", "no_member", "not_held", "host_ended", "not_current",
-	"search_bound", "place_bound",
+	"search_bound", "view_partial", "place_bound",
 }
 
 // String returns the reason's name.
@@ -198,8 +199,10 @@
 	case asked < min(len(holders), maxSearch):
 		m := holders[asked]
 		return Decision{Verdict: Forward, Reason: Searched, To: m.peer, Service: m.service, Hops: uint8(asked)}
-	case !b.Current() || len(holders) == 0:
+	case !b.Current():
 		return Decision{Verdict: Drop, Reason: NotCurrent}
+	case !t.whole(id.Key, s.Tuple.Service):
+		return Decision{Verdict: Drop, Reason: ViewPartial}
 	case len(holders) > maxSearch:
 		return Decision{Verdict: Drop, Reason: SearchBound}
 	case s.Has(RST):
--- /dev/null
+++ b/core/steer/balancer_test.go
@@ -0,0 +1,202 @@
+package steer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fulmarmount.org/core/flow"
+	"fulmarmount.org/core/view"
+)
+
+const (
+	desk    view.ServiceID = 1
+	hall    view.ServiceID = 2
+	testAge                = time.Second
+)
+
+var address = netip.MustParseAddrPort("198.18.0.1:8443")
+
+// server returns the member of a number.
+func server(n int) view.BackendServer {
+	return view.BackendServer{
+		ID: fmt.Sprint("host-", n), Zone: "a", Incarnation: view.Incarnation(n), State: view.Ready,
+		Packets: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000), Weight: view.FullWeight, Slots: 4,
+	}
+}
+
+func servers(from, to int) []view.BackendServer {
+	var out []view.BackendServer
+	for n := from; n <= to; n++ {
+		out = append(out, server(n))
+	}
+	return out
+}
+
+// newBalancer returns a balancer whose address leads to desk with members.
+func newBalancer(members ...view.BackendServer) *Balancer {
+	b := NewBalancer("a")
+	b.Adopt(b.Table().WithRoutes(0, Routes{address: {{Service: desk, Weight: 1}}}).
+		WithView(0, view.New(desk, view.Version{Epoch: 1, Number: 1}, members)))
+	b.Confirm()
+	return b
+}
+
+func tuple(n int) flow.Tuple {
+	return flow.Tuple{
+		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), uint16(1000+n)),
+		Service: address,
+	}
+}
+
+func syn(n int) *Segment  { return &Segment{Tuple: tuple(n), Flags: SYN} }
+func data(n int) *Segment { return &Segment{Tuple: tuple(n), Flags: ACK, Length: 100} }
+
+// returnAll returns a segment from every member it is sent to, until the
+// balancer decides otherwise.
+func returnAll(b *Balancer, s *Segment) (asked map[flow.Peer]int, last Decision) {
+	asked = make(map[flow.Peer]int)
+	last = b.Steer(testAge, s)
+	for last.Verdict == Forward {
+		asked[last.To]++
+		last = b.Returned(testAge, s, Return{
+			Service: last.Service, Seed: last.To.Seed, Hops: last.Hops, Informed: last.Informed,
+		})
+	}
+	return asked, last
+}
+
+func TestFlowIsFoundAmongTheFirstOfItsOrder(t *testing.T) {
+	is := is.New(t)
+	placing, finding := newBalancer(servers(1, 9)...), newBalancer(servers(1, 9)...)
+	for n := range 500 {
+		placed := placing.Steer(testAge, syn(n))
+		is.Equal(placed.Verdict, Forward)
+		found := finding.Steer(testAge, data(n))
+		questions := 1
+		for found.To != placed.To {
+			questions++
+			found = finding.Returned(testAge, data(n), Return{Service: desk, Seed: found.To.Seed, Hops: found.Hops})
+		}
+		is.True(questions <= choices)
+	}
+}
+
+func TestFlowIsResetOnlyWhenEveryMemberHasReturnedIt(t *testing.T) {
+	is := is.New(t)
+	asked, last := returnAll(newBalancer(servers(1, 7)...), data(1))
+	is.Equal(len(asked), 7)
+	is.Equal(last, Decision{Verdict: Reset, Reason: NotHeld})
+}
+
+func TestPartialViewResetsNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	v := view.New(desk, view.Version{Epoch: 2, Number: 1}, servers(1, 2))
+	v.Partial = true
+	b.Adopt(b.Table().WithView(testAge, v))
+	_, last := returnAll(b, data(1))
+	is.Equal(last, Decision{Verdict: Drop, Reason: ViewPartial})
+	whole := view.New(desk, view.Version{Epoch: 2, Number: 2}, servers(1, 2))
+	b.Adopt(b.Table().WithView(testAge, whole))
+	_, last = returnAll(b, data(1))
+	is.Equal(last.Verdict, Reset)
+}
+
+func TestMembersThatAreGoneAreAskedForTheirFlows(t *testing.T) {
+	is := is.New(t)
+	gone := server(3)
+	gone.State, gone.Weight = view.Gone, 0
+	asked, _ := returnAll(newBalancer(server(1), server(2), gone), data(1))
+	is.Equal(len(asked), 3)
+	b := newBalancer(servers(1, 3)...)
+	b.Adopt(b.Table().WithView(testAge, view.New(desk, view.Version{Epoch: 1, Number: 2}, servers(1, 2))))
+	asked, _ = returnAll(b, data(1))
+	is.Equal(len(asked), 3)
+}
+
+func TestAddressThatIsUsedAgainIsNotAskedForEarlierFlows(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 3)...)
+	other := server(9)
+	other.Packets = server(3).Packets
+	b.Adopt(b.Table().WithView(testAge, view.New(hall, view.Version{Epoch: 1, Number: 2}, []view.BackendServer{other})))
+	asked, _ := returnAll(b, data(1))
+	is.Equal(len(asked), 2)
+}
+
+func TestFlowsOfAnEarlierRouteAreAskedForAtItsService(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 2)...)
+	b.Adopt(b.Table().WithView(0, view.New(hall, view.Version{Epoch: 1, Number: 2}, servers(5, 6))).
+		WithRoutes(testAge, Routes{address: {{Service: hall, Weight: 1}}}))
+	asked, last := returnAll(b, data(1))
+	is.Equal(len(asked), 4)
+	is.Equal(last.Verdict, Reset)
+	is.Equal(b.Steer(testAge, syn(2)).Service, hall)
+}
+
+func TestSYNs(t *testing.T) {
+	t.Run("copies go to another member until one has answered", func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(servers(1, 4)...)
+		first := b.Steer(testAge, syn(1))
+		again := syn(1)
+		again.Copy = 1
+		second := b.Steer(testAge, again)
+		is.True(second.To != first.To)
+		b.Held(testAge, tuple(1).ID(), desk, second.To.Seed)
+		again.Copy = 2
+		is.Equal(b.Steer(testAge, again).To, second.To)
+		is.Equal(b.Steer(testAge, data(1)).To, second.To)
+	})
+	t.Run("members that turn flows away get none for a while", func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(servers(1, 3)...)
+		first := b.Steer(testAge, syn(1))
+		next := b.Returned(testAge, syn(1), Return{Service: desk, Seed: first.To.Seed})
+		is.True(next.To != first.To)
+		for n := range 20 {
+			is.True(b.Steer(testAge, syn(10+n)).To != first.To)
+		}
+	})
+	t.Run("without members and routes they are reset at once", func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer()
+		is.Equal(b.Steer(testAge, syn(1)), Decision{Verdict: Reset, Reason: NoMember})
+		stranger := syn(1)
+		stranger.Tuple.Service = netip.MustParseAddrPort("198.18.0.9:80")
+		is.Equal(b.Steer(testAge, stranger), Decision{Verdict: Reset, Reason: NoRoute})
+	})
+	t.Run("nothing is reset before the configuration is current", func(t *testing.T) {
+		is := is.New(t)
+		b := NewBalancer("a")
+		is.Equal(b.Steer(testAge, syn(1)), Decision{Verdict: Drop, Reason: NotCurrent})
+	})
+}
+
+func TestNewFlowsGoWhereTheLoadIsLeast(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 3)...)
+	busy := view.SeedOf("host-2")
+	b.Report(testAge, desk, busy, Load{Flows: 30, Running: 12})
+	for n := range 20 {
+		is.True(b.Steer(testAge, syn(n)).To.Seed != busy)
+	}
+}
+
+func TestPortionsAreKeptByAllBalancers(t *testing.T) {
+	is := is.New(t)
+	routes := Routes{address: {{Service: desk, Weight: 90}, {Service: hall, Weight: 10}}}
+	counts := make(map[view.ServiceID]int)
+	for n := range 2000 {
+		id := tuple(n).ID()
+		service, ok := choosePortion(id.Key, routes[address])
+		is.True(ok)
+		counts[service]++
+	}
+	is.True(counts[hall] > 150 && counts[hall] < 250)
+}
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -37,6 +38,8 @@
 type Table struct {
 	routes  Routes
 	members map[view.ServiceID][]member
+	// partial are the services whose view may lack members.
+	partial map[view.ServiceID]bool
 	// former are the services that addresses had under earlier routes. Their
 	// flows stay where they are.
 	former map[netip.AddrPort][]former
@@ -50,12 +53,15 @@
 
 // NewTable returns a table without routes.
 func NewTable() *Table {
-	return &Table{routes: Routes{}, members: map[view.ServiceID][]member{}, former: map[netip.AddrPort][]former{}}
+	return &Table{
+		routes: Routes{}, members: map[view.ServiceID][]member{}, partial: map[view.ServiceID]bool{},
+		former: map[netip.AddrPort][]former{},
+	}
 }
 
 // WithRoutes returns the table with other routes.
 func (t *Table) WithRoutes(now time.Duration, routes Routes) *Table {
-	next := &Table{routes: routes, members: t.members, former: make(map[netip.AddrPort][]former)}
+	next := &Table{routes: routes, members: t.members, partial: t.partial, former: make(map[netip.AddrPort][]former)}
 	for addr := range routes {
 		for _, f := range t.former[addr] {
 			if now-f.until < MaxFlowAge {
@@ -79,15 +85,24 @@
 // names are kept for as long as their flows may live, unless another has taken
 // their address.
 func (t *Table) WithView(now time.Duration, v *view.View) *Table {
-	next := &Table{routes: t.routes, former: t.former, members: make(map[view.ServiceID][]member, len(t.members)+1)}
+	next := &Table{
+		routes: t.routes, former: t.former, partial: maps.Clone(t.partial),
+		members: make(map[view.ServiceID][]member, len(t.members)+1),
+	}
+	next.partial[v.Service] = v.Partial
 	taken := make(map[netip.AddrPort]bool, len(v.Members))
+	for i := range v.Members {
+		b := &v.Members[i]
+		if b.State != view.Gone {
+			taken[b.Packets] = true
+		}
+	}
 	list := make([]member, 0, len(v.Members))
 	for i := range v.Members {
 		b := &v.Members[i]
-		if b.State == view.Gone {
+		if b.State == view.Gone && taken[b.Packets] {
 			continue
 		}
-		taken[b.Packets] = true
 		list = append(list, member{
 			peer: flow.PeerOf(v, i), service: v.Service, id: b.ID, zone: b.Zone,
 			weight: b.Weight, slots: max(b.Slots, 1), takes: b.TakesNew(),
@@ -212,6 +227,17 @@
 	return out
 }
 
+// whole reports whether every member that may hold a flow of an address is
+// known.
+func (t *Table) whole(key uint64, addr netip.AddrPort) bool {
+	for _, service := range t.services(key, addr) {
+		if known, ok := t.partial[service]; known || !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // find returns the member with a seed, or nil.
 func (t *Table) find(service view.ServiceID, seed uint64) *member {
 	list := t.members[service]
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -114,6 +114,9 @@
 	// process that starts or skips versions learns from it where the flows of
 	// those versions were placed.
 	Earlier []Past `cbor:"4,keyasint,omitempty"`
+	// Partial is set while members that exist may not have announced themselves
+	// to the control leader yet. What is not in the view may still be there.
+	Partial bool `cbor:"5,keyasint,omitempty"`
 
 	seeds   []uint64
 	targets []Target
