Ask a listener's former services for its flows

Cause: a new configuration leaves open flows at the services that their address led to before. Change: an import notes the services that a listener no longer leads to; daemons get them at weight 0, and balancers ask them last.

--- a/core/fleet/import.go
+++ b/core/fleet/import.go
@@ -21,6 +21,9 @@
 	Urgency uint8 `cbor:"6,keyasint" json:"urgency"`
 	// Idempotent requests may run more than once.
 	Idempotent bool `cbor:"7,keyasint" json:"idempotent"`
+	// Former are services that the listener led to before and that may still hold
+	// flows of it. The Machine keeps them.
+	Former []string `cbor:"8,keyasint,omitempty" json:"former,omitempty"`
 }
 
 // Portion is a service's share of the new flows of a listener.
@@ -52,6 +55,7 @@
 		return m.invalid(problems...)
 	}
 	m.assignIDs(c.Document)
+	keepFormer(m.document, c.Document)
 	m.document = c.Document
 	m.imported = *c.Import
 	m.version++
@@ -60,6 +64,39 @@
 	return m.result(Accepted)
 }
 
+// maxFormer bounds the former services of a listener.
+const maxFormer = 8
+
+// keepFormer notes in next the services that its listeners led to in before. Both
+// lists are sorted by address.
+func keepFormer(before, next *Document) {
+	old := before.Listeners
+	for i := range next.Listeners {
+		l := &next.Listeners[i]
+		for len(old) > 0 && old[0].Address.Compare(l.Address) < 0 {
+			old = old[1:]
+		}
+		l.Former = nil
+		if len(old) > 0 && old[0].Address == l.Address {
+			l.Former = former(&old[0], l, next)
+		}
+	}
+}
+
+// former returns the services that before led to and next does not.
+func former(before, next *Listener, d *Document) []string {
+	names := make([]string, 0, len(before.Portions)+len(before.Former))
+	for _, p := range before.Portions {
+		names = append(names, p.Service)
+	}
+	names = append(names, before.Former...)
+	names = slices.DeleteFunc(names, func(name string) bool {
+		leads := func(p Portion) bool { return p.Service == name }
+		return d.Service(name) == nil || slices.ContainsFunc(next.Portions, leads)
+	})
+	return nonEmpty(names[:min(len(names), maxFormer)])
+}
+
 // ListenerPrefix begins the section of a problem of a listener.
 const ListenerPrefix = "listener."
 
--- /dev/null
+++ b/core/fleet/import_test.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// imported returns a document whose one listener leads to services.
+func imported(services ...string) *Document {
+	d := &Document{Defaults: DefaultSettings()}
+	for _, name := range []string{"catalogue-hall", "order-desk"} {
+		d.Services = append(d.Services, Service{Name: name, Mode: ModeSegment})
+	}
+	l := Listener{Name: "a", Address: netip.MustParseAddrPort("198.18.0.1:443"), Timeout: time.Second}
+	for _, name := range services {
+		l.Portions = append(l.Portions, Portion{Service: name, Weight: 1})
+	}
+	d.Listeners = []Listener{l}
+	return d
+}
+
+func importCommand(number uint64, d *Document) Command {
+	return Command{Kind: KindImport, Import: &Import{Number: number, Source: []byte{byte(number)}}, Document: d}
+}
+
+func TestHighestImportIsInForceInWhateverOrder(t *testing.T) {
+	is := is.New(t)
+	for _, order := range [][]uint64{{1, 2, 3}, {3, 2, 1}, {2, 3, 1}, {1, 3, 3}, {3, 1, 3}} {
+		m := New()
+		for i, number := range order {
+			result := m.Apply(uint64(i+1), importCommand(number, imported("order-desk")))
+			is.Equal(result.Outcome, Accepted)
+		}
+		is.Equal(m.Imported(), Import{Number: 3, Source: []byte{3}})
+	}
+}
+
+func TestContentOfTheNumberInForceIsNotReplaced(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	m.Apply(1, importCommand(7, imported("order-desk")))
+	other := importCommand(7, imported("catalogue-hall"))
+	other.Import.Source = []byte("other")
+	is.Equal(m.Apply(2, other).Outcome, Accepted)
+	is.Equal(m.Imported().Source, []byte{7})
+	is.Equal(m.Document().Listeners[0].Portions[0].Service, "order-desk")
+	is.Equal(m.Revision(), uint64(1))
+}
+
+func TestInvalidImportsChangeNothing(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(d *Document)
+	}{
+		{"unknown service", func(d *Document) { d.Listeners[0].Portions[0].Service = "nobody" }},
+		{"two listeners at one address", func(d *Document) { d.Listeners = append(d.Listeners, d.Listeners[0]) }},
+		{"no timeout", func(d *Document) { d.Listeners[0].Timeout = 0 }},
+		{"no weight", func(d *Document) { d.Listeners[0].Portions[0].Weight = 0 }},
+		{"no service", func(d *Document) { d.Listeners[0].Portions = nil }},
+		{"a service twice", func(d *Document) {
+			d.Listeners[0].Portions = append(d.Listeners[0].Portions, d.Listeners[0].Portions[0])
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := New()
+			d := imported("order-desk")
+			c.change(d)
+			result := m.Apply(1, importCommand(1, d))
+			is.Equal(result.Outcome, Invalid)
+			is.True(len(result.Problems) > 0)
+			is.Equal(m.Imported().Number, uint64(0))
+		})
+	}
+}
+
+func TestFormerServicesOfAListenerAreKept(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	steps := []struct {
+		services []string
+		former   []string
+	}{
+		{[]string{"order-desk"}, nil},
+		{[]string{"order-desk", "catalogue-hall"}, nil},
+		{[]string{"catalogue-hall"}, []string{"order-desk"}},
+		{[]string{"catalogue-hall"}, []string{"order-desk"}},
+		{[]string{"order-desk"}, []string{"catalogue-hall"}},
+	}
+	for i, s := range steps {
+		m.Apply(uint64(i+1), importCommand(uint64(i+1), imported(s.services...)))
+		is.True(slices.Equal(m.Document().Listeners[0].Former, s.former))
+	}
+	restored, err := Restore(m.Snapshot())
+	is.NoErr(err)
+	is.Equal(restored.Document().Listeners, m.Document().Listeners)
+	is.Equal(restored.Imported(), m.Imported())
+}
--- a/core/steer/balancer_test.go
+++ b/core/steer/balancer_test.go
@@ -39,7 +39,7 @@
 // newBalancer returns a balancer whose address leads to desk with members.
 func newBalancer(members ...view.BackendServer) *Balancer {
 	b := NewBalancer("a")
-	b.Adopt(b.Table().WithRoutes(0, Routes{address: {{Service: desk, Weight: 1}}}).
+	b.Adopt(b.Table().WithRoutes(Routes{address: {{Service: desk, Weight: 1}}}).
 		WithView(0, view.New(desk, view.Version{Epoch: 1, Number: 1}, members)))
 	b.Confirm()
 	return b
@@ -132,7 +132,7 @@
 	is := is.New(t)
 	b := newBalancer(servers(1, 2)...)
 	b.Adopt(b.Table().WithView(0, view.New(hall, view.Version{Epoch: 1, Number: 2}, servers(5, 6))).
-		WithRoutes(testAge, Routes{address: {{Service: hall, Weight: 1}}}))
+		WithRoutes(Routes{address: {{Service: desk}, {Service: hall, Weight: 1}}}))
 	asked, last := returnAll(b, data(1))
 	is.Equal(len(asked), 4)
 	is.Equal(last.Verdict, Reset)
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -12,7 +12,8 @@
 	"fulmarmount.org/core/view"
 )
 
-// Portion is a service's share of the new flows of an address.
+// Portion is a service's share of the new flows of an address. A service of
+// weight 0 gets none and may hold flows from before.
 type Portion struct {
 	Service view.ServiceID
 	Weight  uint32
@@ -40,45 +41,16 @@
 	members map[view.ServiceID][]member
 	// partial are the services whose view may lack members.
 	partial map[view.ServiceID]bool
-	// former are the services that addresses had under earlier routes. Their
-	// flows stay where they are.
-	former map[netip.AddrPort][]former
-}
-
-// former is a service that an address no longer leads to.
-type former struct {
-	service view.ServiceID
-	until   time.Duration
 }
 
 // NewTable returns a table without routes.
 func NewTable() *Table {
-	return &Table{
-		routes: Routes{}, members: map[view.ServiceID][]member{}, partial: map[view.ServiceID]bool{},
-		former: map[netip.AddrPort][]former{},
-	}
+	return &Table{routes: Routes{}, members: map[view.ServiceID][]member{}, partial: map[view.ServiceID]bool{}}
 }
 
 // WithRoutes returns the table with other routes.
-func (t *Table) WithRoutes(now time.Duration, routes Routes) *Table {
-	next := &Table{routes: routes, members: t.members, partial: t.partial, former: make(map[netip.AddrPort][]former)}
-	for addr := range routes {
-		for _, f := range t.former[addr] {
-			if now-f.until < MaxFlowAge {
-				next.former[addr] = append(next.former[addr], f)
-			}
-		}
-		for _, p := range t.routes[addr] {
-			if !leadsTo(routes[addr], p.Service) {
-				next.former[addr] = append(next.former[addr], former{service: p.Service, until: now})
-			}
-		}
-	}
-	return next
-}
-
-func leadsTo(portions []Portion, service view.ServiceID) bool {
-	return slices.ContainsFunc(portions, func(p Portion) bool { return p.Service == service })
+func (t *Table) WithRoutes(routes Routes) *Table {
+	return &Table{routes: routes, members: t.members, partial: t.partial}
 }
 
 // WithView returns the table with the members of v. Members that v no longer
@@ -86,7 +58,7 @@
 // their address.
 func (t *Table) WithView(now time.Duration, v *view.View) *Table {
 	next := &Table{
-		routes: t.routes, former: t.former, partial: maps.Clone(t.partial),
+		routes: t.routes, partial: maps.Clone(t.partial),
 		members: make(map[view.ServiceID][]member, len(t.members)+1),
 	}
 	next.partial[v.Service] = v.Partial
@@ -172,9 +144,6 @@
 	for _, p := range portions {
 		add(p.Service)
 	}
-	for _, f := range t.former[addr] {
-		add(f.service)
-	}
 	return out
 }
 
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -62,7 +62,8 @@
 	Version view.Version `cbor:"-"`
 }
 
-// Inbound is a listener's address and the service's weight there.
+// Inbound is a listener's address and the service's weight there. At weight 0 the
+// service gets no new flows and may hold some from before.
 type Inbound struct {
 	Addr   netip.AddrPort `cbor:"1,keyasint"`
 	Weight uint32         `cbor:"2,keyasint"`
--- a/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -107,9 +107,10 @@
 	for i := range document.Listeners {
 		l := &document.Listeners[i]
 		for _, p := range l.Portions {
-			if p.Weight > 0 {
-				inbound[p.Service] = append(inbound[p.Service], proto.Inbound{Addr: l.Address, Weight: p.Weight})
-			}
+			inbound[p.Service] = append(inbound[p.Service], proto.Inbound{Addr: l.Address, Weight: p.Weight})
+		}
+		for _, name := range l.Former {
+			inbound[name] = append(inbound[name], proto.Inbound{Addr: l.Address})
 		}
 	}
 	services := make([]proto.Service, len(document.Services))
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -121,9 +121,11 @@
 // adopt puts the service's configuration in force.
 func (a *Agent) adopt(u proto.Update) {
 	for _, s := range u.Services {
-		addrs := make([]netip.AddrPort, len(s.Inbound))
-		for i, in := range s.Inbound {
-			addrs[i] = in.Addr
+		var addrs []netip.AddrPort
+		for _, in := range s.Inbound {
+			if in.Weight > 0 {
+				addrs = append(addrs, in.Addr)
+			}
 		}
 		a.setService(s.ID, s.Version, addrs)
 	}
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -153,7 +153,7 @@
 	now, t := b.elapsed(), b.steer.Table()
 	if len(u.Services) > 0 || len(u.Removed) > 0 {
 		b.setServices(u)
-		t = t.WithRoutes(now, b.routes())
+		t = t.WithRoutes(b.routes())
 		b.options.Log.Info("Adopted a configuration.", zap.Int("addresses", t.Routes()))
 	}
 	for _, v := range u.Views {
