Pass over members that do not answer a search

Cause: after a balancer's restart its flows are searched for. A flow is reset only where all have answered. Agents tell where a flow that they did not know turned out to be.

--- a/core/steer/balancer.go
+++ b/core/steer/balancer.go
@@ -34,6 +34,7 @@
 	NotHeld                    // every member has returned the segment
 	HostEnded                  // the flow's backend server has ended
 	NotCurrent                 // the configuration is not known to be current
+	Unanswered                 // a member has not answered
 	SearchBound                // more members than a search may ask
 	ViewPartial                // members that may hold the flow may be missing
 	PlaceBound                 // too many members have turned the flow away
@@ -42,7 +43,7 @@
 
 var reasonNames = [reasonsCount]string{
 	"placed", "remembered", "searched", "no_route", "no_member", "not_held", "host_ended", "not_current",
-	"search_bound", "view_partial", "place_bound",
+	"unanswered", "search_bound", "view_partial", "place_bound",
 }
 
 // String returns the reason's name.
@@ -62,7 +63,7 @@
 	// flow is found again among the first of its order.
 	choices = 3
 	// maxSearch is the number of members that are asked for a flow.
-	maxSearch = 12
+	maxSearch = 32
 	// maxPlacements is the number of members that may turn a new flow away.
 	maxPlacements = 4
 )
@@ -81,16 +82,17 @@
 
 // Balancer decides about the segments of callers. It is safe for concurrent use.
 type Balancer struct {
-	zone    string
-	table   atomic.Pointer[Table]
-	current atomic.Bool
-	owners  *owners
-	loads   *loads
+	zone     string
+	table    atomic.Pointer[Table]
+	current  atomic.Bool
+	owners   *owners
+	loads    *loads
+	searches *searches
 }
 
 // NewBalancer returns a Balancer in an availability zone that knows no service.
 func NewBalancer(zone string) *Balancer {
-	b := &Balancer{zone: zone, owners: newOwners(), loads: newLoads()}
+	b := &Balancer{zone: zone, owners: newOwners(), loads: newLoads(), searches: newSearches()}
 	b.table.Store(NewTable())
 	return b
 }
@@ -129,7 +131,7 @@
 		}
 		b.owners.drop(id)
 	}
-	return b.search(t, s, id, 0)
+	return b.search(now, t, s, id, 0)
 }
 
 func (b *Balancer) unrouted(s *Segment) Decision {
@@ -192,18 +194,26 @@
 	return out
 }
 
-// search sends a segment to the member that is asked next.
-func (b *Balancer) search(t *Table, s *Segment, id flow.ID, asked int) Decision {
+// search sends a segment to the member that is asked next. denied is the seed of
+// the member that has returned it, 0 for none.
+func (b *Balancer) search(now time.Duration, t *Table, s *Segment, id flow.ID, denied uint64) Decision {
 	holders := t.holders(id.Key, s.Tuple.Service)
+	bounded := len(holders) > maxSearch
+	b.loads.silentLast(holders)
+	next := b.searches.next(now, id, holders[:min(len(holders), maxSearch)], denied)
+	if next.silent != nil {
+		b.loads.unanswered(next.silent)
+	}
 	switch {
-	case asked < min(len(holders), maxSearch):
-		m := holders[asked]
-		return Decision{Verdict: Forward, Reason: Searched, To: m.peer, Service: m.service, Hops: uint8(asked)}
+	case next.member != nil:
+		return Decision{Verdict: Forward, Reason: Searched, To: next.member.peer, Service: next.member.service, Hops: next.hops}
 	case !b.Current():
 		return Decision{Verdict: Drop, Reason: NotCurrent}
 	case !t.whole(id.Key, s.Tuple.Service):
 		return Decision{Verdict: Drop, Reason: ViewPartial}
-	case len(holders) > maxSearch:
+	case !next.complete:
+		return Decision{Verdict: Drop, Reason: Unanswered}
+	case bounded:
 		return Decision{Verdict: Drop, Reason: SearchBound}
 	case s.Has(RST):
 		return Decision{Verdict: Drop, Reason: NotHeld}
@@ -215,9 +225,8 @@
 type Return struct {
 	Service view.ServiceID
 	Seed    uint64
-	// Hops and Informed are those of the decision that sent it there.
-	Hops     uint8
-	Informed bool
+	// Hops is that of the decision that sent it there.
+	Hops uint8
 	// Ended is set where the flow was at a backend server that has ended.
 	Ended bool
 }
@@ -229,8 +238,16 @@
 		return b.unrouted(s)
 	}
 	id := s.Tuple.ID()
-	if o, ok := b.owners.get(now, id); ok && o.seed == r.Seed {
+	b.loads.answered(r.Service, r.Seed)
+	o, known := b.owners.get(now, id)
+	switch {
+	case known && o.seed == r.Seed:
 		b.owners.drop(id)
+	case known && !s.Opens():
+		// The flow was found meanwhile.
+		if m := t.find(o.service, o.seed); m != nil {
+			return Decision{Verdict: Forward, Reason: Remembered, To: m.peer, Service: m.service, Informed: true}
+		}
 	}
 	if s.Opens() {
 		return b.turnedAway(now, t, s, id, r)
@@ -238,10 +255,7 @@
 	if r.Ended && !s.Has(RST) {
 		return Decision{Verdict: Reset, Reason: HostEnded}
 	}
-	if r.Informed {
-		return b.search(t, s, id, 0)
-	}
-	return b.search(t, s, id, int(r.Hops)+1)
+	return b.search(now, t, s, id, r.Seed)
 }
 
 // turnedAway places a new flow that a member does not take on another one.
@@ -258,6 +272,8 @@
 // Held notes that a member's host has said that it holds a flow.
 func (b *Balancer) Held(now time.Duration, id flow.ID, service view.ServiceID, seed uint64) {
 	b.owners.set(now, id, owner{service: service, seed: seed, confirmed: true})
+	b.searches.end(id)
+	b.loads.answered(service, seed)
 }
 
 // Report takes a member's report of its load.
--- a/core/steer/balancer_test.go
+++ b/core/steer/balancer_test.go
@@ -63,7 +63,7 @@
 	for last.Verdict == Forward {
 		asked[last.To]++
 		last = b.Returned(testAge, s, Return{
-			Service: last.Service, Seed: last.To.Seed, Hops: last.Hops, Informed: last.Informed,
+			Service: last.Service, Seed: last.To.Seed, Hops: last.Hops,
 		})
 	}
 	return asked, last
@@ -139,6 +139,53 @@
 	is.Equal(b.Steer(testAge, syn(2)).Service, hall)
 }
 
+func TestSearchPassesOverMembersThatDoNotAnswer(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 4)...)
+	dead := b.Steer(testAge, data(1)).To
+	is.Equal(b.Steer(testAge+answerTime/2, data(1)).To, dead) // its answer may be on the way
+	next := b.Steer(testAge+200*time.Millisecond, data(1))
+	is.True(next.To != dead)
+	for n := range 50 { // other flows ask it last
+		is.True(b.Steer(testAge+200*time.Millisecond, data(100+n)).To != dead)
+	}
+	// The flow may be at the silent member: it is not reset.
+	asked := map[flow.Peer]bool{dead: true}
+	for next.Verdict == Forward {
+		asked[next.To] = true
+		next = b.Returned(testAge+210*time.Millisecond, data(1), Return{Service: desk, Seed: next.To.Seed})
+	}
+	is.Equal(len(asked), 4)
+	is.Equal(next, Decision{Verdict: Drop, Reason: Unanswered})
+	// Once it is heard, it is asked in its order again.
+	b.Report(testAge+220*time.Millisecond, desk, dead.Seed, Load{})
+	is.Equal(b.Steer(testAge+220*time.Millisecond, data(1)).To, dead)
+}
+
+func TestSegmentsOfOneFlowAskOneMemberAtATime(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 3)...)
+	first := b.Steer(testAge, data(1))
+	is.Equal(b.Steer(testAge, data(1)).To, first.To)
+	second := b.Returned(testAge, data(1), Return{Service: desk, Seed: first.To.Seed})
+	is.True(second.To != first.To)
+	// The other segment comes back from the first member as well.
+	is.Equal(b.Returned(testAge, data(1), Return{Service: desk, Seed: first.To.Seed}).To, second.To)
+	b.Held(testAge, tuple(1).ID(), desk, second.To.Seed)
+	late := b.Returned(testAge, data(1), Return{Service: desk, Seed: first.To.Seed})
+	is.Equal(late.To, second.To)
+	is.Equal(late.Reason, Remembered)
+}
+
+func TestMembersThatHaveLeftAreAskedLast(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 4)...)
+	b.Adopt(b.Table().WithView(testAge, view.New(desk, view.Version{Epoch: 1, Number: 2}, servers(2, 4))))
+	for n := range 50 {
+		is.True(b.Steer(testAge, data(n)).To.Seed != view.SeedOf("host-1"))
+	}
+}
+
 func TestSYNs(t *testing.T) {
 	t.Run("copies go to another member until one has answered", func(t *testing.T) {
 		is := is.New(t)
--- a/core/steer/host.go
+++ b/core/steer/host.go
@@ -95,6 +95,8 @@
 	longestStep = 200 * time.Millisecond
 	// closedTime is how long a flow is kept after both ends have closed it.
 	closedTime = 2 * time.Second
+	// maxProbes bounds the balancers that wait to be told about a flow.
+	maxProbes = 8192
 )
 
 // Host decides about the segments of one backend server. It is safe for
@@ -113,8 +115,11 @@
 	started  time.Duration
 	idle     time.Duration
 	// whole is set where every flow of the backend server is in flows.
-	whole   bool
-	flows   map[flow.ID]*hostFlow
+	whole bool
+	flows map[flow.ID]*hostFlow
+	// probes are the balancers that have brought segments of flows that the
+	// backend server may hold.
+	probes  map[flow.ID]netip.AddrPort
 	running uint32
 	pending [pendingSize]pending
 	next    uint32
@@ -138,7 +143,7 @@
 func NewHost(now time.Duration, o HostOptions) *Host {
 	return &Host{
 		patience: o.Patience, idle: o.Idle, started: now, ticked: now,
-		flows: make(map[flow.ID]*hostFlow), routed: make(map[netip.AddrPort]bool),
+		flows: make(map[flow.ID]*hostFlow), probes: make(map[flow.ID]netip.AddrPort), routed: make(map[netip.AddrPort]bool),
 	}
 }
 
@@ -160,6 +165,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	clear(h.flows)
+	clear(h.probes)
 	h.running = 0
 	h.whole = !first
 }
@@ -206,8 +212,11 @@
 	f := h.flows[s.Tuple.ID()]
 	tell := f != nil && !a.Informed
 	h.note(now, f, s)
-	if s.Opens() {
+	switch {
+	case s.Opens():
 		h.expect(now, s, a)
+	case f == nil && len(h.probes) < maxProbes:
+		h.probes[s.Tuple.ID()] = a.Balancer
 	}
 	return HostDecision{Verdict: Deliver, Token: h.remember(a), Tell: tell}
 }
@@ -285,6 +294,7 @@
 	defer h.mu.Unlock()
 	h.silence = 0
 	h.forget(s.Tuple.ID())
+	delete(h.probes, s.Tuple.ID())
 	p := h.pending[token%pendingSize]
 	return p.arrival, token != 0 && p.token == token
 }
@@ -325,7 +335,9 @@
 	if s.Has(SYN) {
 		return f.balancer
 	}
-	return netip.AddrPort{}
+	tell = h.probes[id]
+	delete(h.probes, id)
+	return tell
 }
 
 // Tick lets time pass: it counts the backend server's silence and forgets flows
--- a/core/steer/loads.go
+++ b/core/steer/loads.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +47,8 @@
 	at        time.Duration
 	placed    []time.Duration
 	suspected time.Duration // until when
+	// silent is set where the member has left a question unanswered.
+	silent bool
 }
 
 func newLoads() *loads { return &loads{byID: make(map[loadKey]*memberLoad)} }
@@ -64,7 +68,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	found := l.of(m)
-	found.report, found.at, found.suspected = load, now, 0
+	found.report, found.at, found.suspected, found.silent = load, now, 0, false
 }
 
 // suspect keeps new flows from a member for a while.
@@ -74,6 +78,36 @@
 	l.of(m).suspected = now + suspicionTime
 }
 
+// unanswered notes that a member has not answered a question.
+func (l *loads) unanswered(m *member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of(m).silent = true
+}
+
+// answered notes that a member was heard.
+func (l *loads) answered(service view.ServiceID, seed uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if found := l.byID[loadKey{service, seed}]; found != nil {
+		found.silent = false
+	}
+}
+
+// silentLast moves members that are silent or have left behind the others.
+func (l *loads) silentLast(holders []*member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rank := func(m *member) int {
+		found := l.byID[loadKey{m.service, m.peer.Seed}]
+		if m.left > 0 || found != nil && found.silent {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(holders, func(a, b *member) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
 // keep forgets the members that are in no table any more.
 func (l *loads) keep(t *Table) {
 	l.mu.Lock()
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -246,8 +246,7 @@
 	b.decisions.returned.Add(1)
 	now := b.elapsed()
 	decision := b.steer.Returned(now, &segment.Segment, steer.Return{
-		Service: h.Flow.Service, Seed: h.Flow.Denied[0], Hops: h.Flow.Hops,
-		Informed: h.Flow.Informed, Ended: h.Flow.Answer,
+		Service: h.Flow.Service, Seed: h.Flow.Denied[0], Hops: h.Flow.Hops, Ended: h.Flow.Answer,
 	})
 	b.carryOut(now, &segment.Segment, decision, payload)
 }
