Announce the leader's address once it is known

Cause: a replica whose disk was emptied hears of the leader before it has a membership, in which the leader's address stands, and nothing announced the address later. Change: a change of the membership announces the leadership anew; streams wait for 1 s.

--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/quorum"
+	"fulmarmount.org/core/roster"
 	"fulmarmount.org/fulmarmount/internal/admin"
 	"fulmarmount.org/fulmarmount/internal/keys"
 	"fulmarmount.org/fulmarmount/internal/peer"
@@ -71,6 +72,8 @@
 	set    *keys.Set
 	folder string
 	peers  []Peer
+	// joining has replicas that open ask the peers to be added.
+	joining bool
 }
 
 func freeAddr(t *testing.T) netip.AddrPort {
@@ -94,6 +97,15 @@
 	return b
 }
 
+// addrs returns the addresses of the first replicas.
+func (b *bench) addrs() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, p := range b.peers {
+		out = append(out, p.Addr)
+	}
+	return out
+}
+
 func (b *bench) path(p Peer) string { return filepath.Join(b.folder, p.Name) }
 
 func (b *bench) open(p Peer) *process {
@@ -105,10 +117,15 @@
 	out.pool = peer.NewPool(func() *tls.Config {
 		return identity.ClientTLSFor("", []keys.Role{keys.Control}, peer.Protocol)
 	})
-	out.Group, err = Open(Options{
+	options := Options{
 		Name: p.Name, Addr: p.Addr, Cluster: "control", Peers: b.peers, Folder: b.path(p),
+		Keep:    roster.Options{Voters: 3, AbsentAfter: time.Second},
 		Machine: out.state, Pool: out.pool, Now: time.Now, Log: zap.NewNop(),
-	})
+	}
+	if b.joining {
+		options.Peers, options.Seeds = nil, b.addrs
+	}
+	out.Group, err = Open(options)
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// membersChanged wakes those who look for the leader's address: it stands in the
+// membership.
+func (n *Node) membersChanged() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
 // AddLearner adds a replica that receives the log and does not vote. The
 // membership changes below succeed on the leader only.
 func (n *Node) AddLearner(ctx context.Context, member quorum.Member) error {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -256,6 +256,7 @@
 		}
 	}
 	n.applied, n.snapshot = s.Index, s.Index
+	n.membersChanged()
 	// Their entries may lie within the snapshot, and their results with them.
 	n.failProposals(OutcomeUnknown.New("a snapshot replaced the log up to entry %d", s.Index))
 	return nil
@@ -266,6 +267,9 @@
 	if e.Kind == quorum.EntryCommand {
 		result = n.options.Machine.Apply(e.Index, e.Data)
 	}
+	if e.Kind == quorum.EntryChange {
+		n.membersChanged()
+	}
 	n.applied = e.Index
 	n.counters.Applied++
 	if p := n.proposals[e.Number]; p != nil && e.Origin == n.options.Store.Replica() {
--- a/internal/role/control/lead.go
+++ b/internal/role/control/lead.go
@@ -59,9 +59,9 @@
 	c.changed = make(chan struct{})
 }
 
-// leaderWait is how long a stream waits for a leader: longer than an election
-// takes where a majority runs.
-const leaderWait = 3 * time.Second
+// leaderWait is how long a stream waits for a leader: about as long as an
+// election takes where a majority runs.
+const leaderWait = time.Second
 
 // server is who serves a stream: the term of this process, or another leader.
 type server struct {
