--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -22,9 +22,9 @@
 	r.electionTimeout = r.config.ElectionTicks + r.config.Rand.IntN(r.config.ElectionTicks)
 }
 
-// hurryElection shortens the first timeout of a replica that starts: after the
-// loss of all replicas nobody is worth waiting for, and a leader that lives is
-// heard at its next heartbeat. A pre-vote disturbs no live leader.
+// hurryElection shortens the timeout of a replica that starts or campaigns:
+// there may be nobody to wait for, and a leader that lives is heard at its next
+// heartbeat. A pre-vote disturbs no live leader.
 func (r *Replica) hurryElection() {
 	first := 2 * r.config.HeartbeatTicks
 	r.electionTimeout = first + r.config.Rand.IntN(max(r.config.ElectionTicks-first, 1))
@@ -47,6 +47,7 @@
 // term (thesis, 9.6), or as a Candidate.
 func (r *Replica) campaign(role Role, transfer bool) {
 	r.resetElection()
+	r.hurryElection()
 	r.role = role
 	r.leader = 0
 	r.votes = map[ReplicaID]bool{r.id: true}
--- a/core/quorum/start_test.go
+++ b/core/quorum/start_test.go
@@ -43,3 +43,40 @@
 	is.Equal(follower.term, uint64(5))
 	is.Equal(follower.leader, ReplicaID(3))
 }
+
+// elect lets two of three replicas run until one leads, and returns the ticks.
+func elect(t *testing.T, seed uint64) int {
+	t.Helper()
+	replicas := map[ReplicaID]*Replica{1: started(t, 1, seed), 2: started(t, 2, seed)}
+	for tick := 1; tick < 1000; tick++ {
+		for _, id := range []ReplicaID{1, 2} {
+			replicas[id].Tick()
+		}
+		// Messages of one tick cross each other.
+		for range 8 {
+			var sent []Message
+			for _, id := range []ReplicaID{1, 2} {
+				rd := replicas[id].Ready()
+				sent = append(append(sent, rd.EarlyMessages...), rd.Messages...)
+				replicas[id].Advance(rd)
+			}
+			for _, m := range sent {
+				if to := replicas[m.To]; to != nil {
+					_ = to.Step(m) // refused messages are part of elections
+				}
+			}
+		}
+		if replicas[1].role == Leader || replicas[2].role == Leader {
+			return tick
+		}
+	}
+	t.Fatal("no leader")
+	return 0
+}
+
+func TestSplitVotesAreFollowedByAnotherElectionSoon(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(300) {
+		is.True(elect(t, seed) <= 3*DefaultElectionTicks)
+	}
+}
