Try the next control process beside one that does not answer

Change: peer.Pool.OpenAny gives each address a head start of 200 ms and takes the first that answers; subscriptions and announcements use it.

--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -112,18 +113,19 @@
 func (a *Agent) announce(ctx context.Context) {
 	for i := 0; ctx.Err() == nil; i++ {
 		control := a.options.Control()
-		addr := control[i%len(control)]
-		if err := a.renew(ctx, addr); err != nil && ctx.Err() == nil {
-			a.options.Log.Warn("Lost the lease's connection.", zap.Stringer("control", addr), zap.Error(err))
+		first := i % len(control)
+		order := append(slices.Clone(control[first:]), control[:first]...)
+		if err := a.renew(ctx, order); err != nil && ctx.Err() == nil {
+			a.options.Log.Warn("Lost the lease's connection.", zap.Error(err))
 		}
 		pace.Sleep(ctx, pace.Jitter(a.options.Retry.First))
 	}
 }
 
 // renew announces on one stream until it fails.
-func (a *Agent) renew(ctx context.Context, control netip.AddrPort) error {
+func (a *Agent) renew(ctx context.Context, control []netip.AddrPort) error {
 	dial, stopDial := context.WithTimeout(ctx, a.options.Retry.Dial)
-	s, err := a.pool.Open(dial, control, proto.Announce)
+	s, addr, err := a.pool.OpenAny(dial, control, proto.Announce, false)
 	stopDial()
 	if err != nil {
 		return err
@@ -131,6 +133,7 @@
 	defer s.Abort()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
+	a.options.Log.Info("Announces to control.", zap.Stringer("control", addr))
 	for {
 		wait := renewInterval
 		if announcement, ok := a.announcement(); ok {
--- a/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -91,8 +91,9 @@
 	})
 	for i := 0; ctx.Err() == nil; i++ {
 		order := relayOrder(o.Name, o.Control())
-		addr := order[i%len(order)]
-		retryAfter, heard, err := s.follow(ctx, addr)
+		first := i % len(order)
+		order = append(order[first:], order[:first]...)
+		addr, retryAfter, heard, err := s.follow(ctx, order)
 		if ctx.Err() != nil {
 			return
 		}
@@ -123,20 +124,17 @@
 
 func (s *subscription) now() time.Duration { return s.options.Now().Sub(s.started) }
 
-// follow runs one session. It returns the delay that a refusal asked for and
+// follow runs one session with the first control process that answers. It returns
+// its address, the delay that a refusal asked for and
 // whether anything was heard.
-func (s *subscription) follow(ctx context.Context, addr netip.AddrPort) (retryAfter time.Duration, heard bool, err error) {
+func (s *subscription) follow(ctx context.Context, order []netip.AddrPort) (addr netip.AddrPort, retryAfter time.Duration, heard bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	open := s.options.Pool.Open
-	if s.sink.Silent(s.now()) {
-		open = s.options.Pool.OpenFresh
-	}
 	dial, stopDial := context.WithTimeout(ctx, s.options.Retry.Dial)
-	stream, err := open(dial, addr, proto.Subscribe)
+	stream, addr, err := s.options.Pool.OpenAny(dial, order, proto.Subscribe, s.sink.Silent(s.now()))
 	stopDial()
 	if err != nil {
-		return 0, false, err
+		return addr, 0, false, err
 	}
 	defer s.sink.Disconnected()
 	defer stream.Abort()
@@ -145,7 +143,7 @@
 
 	s.session++
 	if err := s.take(stream, s.sink.Connect(s.now(), s.session)); err != nil {
-		return 0, false, err
+		return addr, 0, false, err
 	}
 	received, failed := receive(ctx, stream)
 	ticker := time.NewTicker(tickInterval)
@@ -154,7 +152,7 @@
 		var out spread.Output
 		select {
 		case err := <-failed:
-			return 0, heard, err
+			return addr, 0, heard, err
 		case m := <-received:
 			heard = true
 			out = s.sink.Receive(s.now(), m)
@@ -162,13 +160,13 @@
 			out = s.sink.Tick(s.now())
 		}
 		if err := s.take(stream, out); err != nil {
-			return 0, heard, err
+			return addr, 0, heard, err
 		}
 		switch {
 		case out.RetryAfter > 0:
-			return out.RetryAfter, false, Refused.New("%v serves enough others", addr)
+			return addr, out.RetryAfter, false, Refused.New("%v serves enough others", addr)
 		case s.sink.Silent(s.now()):
-			return 0, heard, Silent.New("nothing was heard from %v", addr)
+			return addr, 0, heard, Silent.New("nothing was heard from %v", addr)
 		}
 	}
 }
