Know from the durable state when a view is whole

Change: the fleet's state holds the seats, the addresses of agents whose backend servers may hold flows. A member takes flows only once its seat is durable; a new leader's views are whole as soon as every seat was heard, at the latest after two lease times. A seat is given up when its backend server says that it has ended, or is gone for 10 s.

--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -23,11 +23,13 @@
 	KindCancelDrain
 	// KindImport replaces the document by one that another system numbers.
 	KindImport
+	// KindSeats notes which agents there are. The leader proposes it.
+	KindSeats
 )
 
 var kindNames = map[Kind]string{
 	KindApply: "apply", KindPatch: "patch", KindRollback: "rollback", KindDrain: "drain", KindCancelDrain: "cancel drain",
-	KindImport: "import",
+	KindImport: "import", KindSeats: "seats",
 }
 
 // String returns the kind's name.
@@ -81,6 +83,8 @@
 	BackendServer string `cbor:"10,keyasint,omitempty" json:"backend_server,omitempty"`
 	// Import is set for KindImport, beside Document.
 	Import *Import `cbor:"11,keyasint,omitempty" json:"import,omitempty"`
+	// Seats is the content of KindSeats.
+	Seats *SeatChange `cbor:"12,keyasint,omitempty" json:"seats,omitempty"`
 }
 
 // Outcome is how a command ended.
@@ -169,6 +173,12 @@
 			add("patch", "a patch is required")
 		}
 	case KindRollback:
+	case KindSeats:
+		if c.Seats == nil {
+			add("seats", "a change of seats is required")
+		} else {
+			found = append(found, c.Seats.problems()...)
+		}
 	case KindImport:
 		if c.Document == nil || c.Import == nil || c.Import.Number == 0 {
 			add("import", "a document with a number above 0 is required")
--- a/core/fleet/import_test.go
+++ b/core/fleet/import_test.go
@@ -79,6 +79,20 @@
 	}
 }
 
+func TestSeatsSurviveSnapshotsAndMakeNoVersion(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	one, two := netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.2:7000")
+	m.Apply(1, Command{Kind: KindSeats, Seats: &SeatChange{Taken: []netip.AddrPort{two, one}}})
+	is.Equal(m.Seats(), []netip.AddrPort{one, two})
+	m.Apply(2, Command{Kind: KindSeats, Seats: &SeatChange{Left: []netip.AddrPort{two}}})
+	is.Equal(m.Version()+m.Revision(), uint64(0))
+	is.Equal(m.Apply(3, Command{Kind: KindSeats, Seats: &SeatChange{}}).Outcome, Invalid)
+	restored, err := Restore(m.Snapshot())
+	is.NoErr(err)
+	is.Equal(restored.Seats(), []netip.AddrPort{one})
+}
+
 func TestFormerServicesOfAListenerAreKept(t *testing.T) {
 	is := is.New(t)
 	m := New()
--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 
 	"fulmarmount.org/core/view"
@@ -22,6 +23,7 @@
 	answers  *answers
 	index    uint64
 	imported Import
+	seats    map[netip.AddrPort]struct{}
 }
 
 // New returns the state of a fleet before its first command: version 0, the
@@ -32,6 +34,7 @@
 		nextID:   1,
 		history:  newHistory(nil),
 		answers:  newAnswers(nil),
+		seats:    newSeats(nil),
 	}
 }
 
@@ -111,6 +114,8 @@
 		return m.rollback(c)
 	case KindImport:
 		return m.importDocument(c)
+	case KindSeats:
+		return m.changeSeats(c.Seats)
 	case KindDrain:
 		return m.drain(c)
 	default:
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"slices"
 
 	"github.com/joomcode/errorx"
@@ -16,16 +17,17 @@
 
 // Snapshot is the whole state, for an encoding of the embedder's choice.
 type Snapshot struct {
-	Format   uint32         `cbor:"1,keyasint"`
-	Index    uint64         `cbor:"2,keyasint"`
-	Version  uint64         `cbor:"3,keyasint"`
-	Revision uint64         `cbor:"4,keyasint"`
-	NextID   view.ServiceID `cbor:"5,keyasint"`
-	Document Document       `cbor:"6,keyasint"`
-	Drains   []Drain        `cbor:"7,keyasint"`
-	History  []Entry        `cbor:"8,keyasint"`
-	Answers  []Answer       `cbor:"9,keyasint"`
-	Imported Import         `cbor:"10,keyasint,omitempty"`
+	Format   uint32           `cbor:"1,keyasint"`
+	Index    uint64           `cbor:"2,keyasint"`
+	Version  uint64           `cbor:"3,keyasint"`
+	Revision uint64           `cbor:"4,keyasint"`
+	NextID   view.ServiceID   `cbor:"5,keyasint"`
+	Document Document         `cbor:"6,keyasint"`
+	Drains   []Drain          `cbor:"7,keyasint"`
+	History  []Entry          `cbor:"8,keyasint"`
+	Answers  []Answer         `cbor:"9,keyasint"`
+	Imported Import           `cbor:"10,keyasint,omitempty"`
+	Seats    []netip.AddrPort `cbor:"11,keyasint,omitempty"`
 }
 
 // Snapshot returns the state. Treat it as read-only.
@@ -41,6 +43,7 @@
 		History:  m.History(),
 		Answers:  m.answers.snapshot(),
 		Imported: m.imported,
+		Seats:    m.Seats(),
 	}
 }
 
@@ -70,6 +73,7 @@
 		answers:  newAnswers(s.Answers),
 		index:    s.Index,
 		imported: s.Imported,
+		seats:    newSeats(s.Seats),
 	}
 	return m, nil
 }
--- a/core/lease/publish.go
+++ b/core/lease/publish.go
@@ -21,7 +21,7 @@
 	}
 	ids = slices.DeleteFunc(ids, func(id string) bool { return s.members[id] == nil })
 	excluded := r.excluded(now, s, ids)
-	partial := now < r.partial
+	partial := r.lacking(now)
 	if partial {
 		s.due = min(s.due, r.partial)
 	}
@@ -139,7 +139,7 @@
 		return view.Gone, 0
 	case m.draining():
 		return view.Draining, 0
-	case m.phase == view.Joining:
+	case m.phase == view.Joining || !r.seated(m):
 		return view.Joining, 0
 	case excluded:
 		return m.phase, 0
@@ -189,7 +189,7 @@
 	}
 	v := view.New(s.id, version, members)
 	v.Earlier = s.earlier(ids)
-	v.Partial = now < r.partial
+	v.Partial = r.lacking(now)
 	v.Prepare()
 	s.current, s.published = v, now
 	r.stats.Views++
--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -33,6 +33,7 @@
 	partial  time.Duration // the end of the time in which views are partial
 	leading  bool
 	stats    Stats
+	seats    *seats // nil where the durable state keeps none
 	// weigh returns the weight of a member at full strength; nil stands for
 	// view.FullWeight.
 	weigh func(a *view.Announcement) uint32
@@ -144,6 +145,7 @@
 		m.phase = view.Warming
 	}
 	r.renew(now, m, a)
+	r.arrived(a.Packets)
 	return nil
 }
 
--- /dev/null
+++ b/core/lease/seats_test.go
@@ -0,0 +1,97 @@
+package lease
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fulmarmount.org/core/view"
+)
+
+const collect = 200 * time.Millisecond
+
+func seat(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
+}
+
+// authoritative announces host n.
+func authoritative(t *testing.T, r *Registry, now time.Duration, n int) {
+	t.Helper()
+	err := r.Announce(now, 1, view.Announcement{
+		ID: fmt.Sprint("host-", n), Incarnation: 1, Packets: seat(n), Healthy: true, Authoritative: true,
+		Slots: 4, Sequence: uint64(now) + 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func newLeader(seats ...netip.AddrPort) *Registry {
+	r := NewRegistry(Options{Lease: 2 * time.Second, Collect: collect})
+	r.Lead(0, 2, nil)
+	r.SetSeats(seats)
+	return r
+}
+
+func TestViewIsWholeOnceEverySeatWasHeard(t *testing.T) {
+	is := is.New(t)
+	r := newLeader(seat(1), seat(2))
+	authoritative(t, r, 0, 1)
+	first := r.Tick(collect)
+	is.Equal(len(first), 1)
+	is.True(first[0].Partial)
+	authoritative(t, r, 500*time.Millisecond, 2)
+	next := r.Tick(500 * time.Millisecond)
+	is.Equal(len(next), 1)
+	is.True(!next[0].Partial)
+	is.Equal(len(next[0].Members), 2)
+}
+
+func TestSeatsThatStayEmptyAreGivenUpInTime(t *testing.T) {
+	is := is.New(t)
+	r := newLeader(seat(1), seat(2))
+	partial := true
+	for now := time.Duration(0); now < 5*time.Second; now += 100 * time.Millisecond {
+		authoritative(t, r, now, 1)
+		for _, v := range r.Tick(now) {
+			partial = v.Partial
+			is.True(partial == (now < partialLeases*2*time.Second))
+		}
+	}
+	is.True(!partial)
+	is.Equal(r.Vacant(5*time.Second), []netip.AddrPort{seat(2)})
+}
+
+func TestMembersTakeFlowsOnlyWithASeat(t *testing.T) {
+	is := is.New(t)
+	r := newLeader(seat(1))
+	authoritative(t, r, 0, 1)
+	authoritative(t, r, 0, 2)
+	is.Equal(r.Unseated(), []netip.AddrPort{seat(2)})
+	v := r.Tick(collect)[0]
+	is.Equal(v.Members[0].TakesNew(), true)
+	is.Equal(v.Members[1].TakesNew(), false)
+	r.SetSeats([]netip.AddrPort{seat(1), seat(2)})
+	v = r.Tick(collect + time.Second)[0]
+	is.Equal(v.Members[1].TakesNew(), true)
+	is.Equal(len(r.Unseated()), 0)
+}
+
+func TestSeatIsGivenUpWhenItsBackendServerEnds(t *testing.T) {
+	is := is.New(t)
+	r := newLeader(seat(1), seat(2))
+	authoritative(t, r, 0, 1)
+	authoritative(t, r, 0, 2)
+	r.Tick(collect)
+	is.Equal(len(r.Vacant(collect)), 0)
+	is.NoErr(r.Announce(collect, 1, view.Announcement{
+		ID: "host-2", Incarnation: 1, Packets: seat(2), Authoritative: true, Draining: true, Ended: true,
+		Sequence: uint64(time.Second),
+	}))
+	is.Equal(r.Vacant(collect), []netip.AddrPort{seat(2)})
+	r.SetSeats([]netip.AddrPort{seat(1)})
+	is.Equal(len(r.Unseated()), 0)
+}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -250,6 +250,8 @@
 	// Authoritative is set where the backend server itself knows its flows, so
 	// that it may take new ones before its agent has adopted a view.
 	Authoritative bool `cbor:"15,keyasint,omitempty"`
+	// Ended is set where the backend server has ended, and its flows with it.
+	Ended bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Load is the number of flows that an agent owned when it announced itself.
--- a/internal/fleetstore/store.go
+++ b/internal/fleetstore/store.go
@@ -51,6 +51,12 @@
 // Peek calls read with the state as this process has it, which may lag.
 func (s *Store) Peek(read func(*fleet.Machine)) { s.machine.Read(read) }
 
+// ChangeSeats notes which agents there are.
+func (s *Store) ChangeSeats(ctx context.Context, c fleet.SeatChange) error {
+	_, err := s.Propose(ctx, fleet.Command{Kind: fleet.KindSeats, Seats: &c})
+	return err
+}
+
 // Changed returns a channel that is closed at the next change of the state.
 func (s *Store) Changed() <-chan struct{} { return s.machine.Changed() }
 
--- a/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -22,6 +22,8 @@
 	Peek(read func(*fleet.Machine))
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
+	// ChangeSeats notes which agents there are.
+	ChangeSeats(ctx context.Context, c fleet.SeatChange) error
 }
 
 // followDelay bounds the pause before the state is asked for again.
@@ -58,7 +60,7 @@
 // acknowledged command: a process that starts behind must not publish what
 // was replaced long ago.
 func (c *term) follow(ctx context.Context) {
-	for c.options.Fleet.Read(ctx, c.adopt) != nil {
+	for c.options.Fleet.Read(ctx, c.adoptFirst) != nil {
 		c.options.Log.Warn("Waits for the replicas.")
 		if !pace.Sleep(ctx, pace.Jitter(followDelay)) {
 			return
@@ -76,6 +78,15 @@
 	}
 }
 
+// adoptFirst adopts the state of m with the agents that there were before this
+// process came to lead.
+func (c *term) adoptFirst(m *fleet.Machine) {
+	c.mu.Lock()
+	c.registry.SetSeats(m.Seats())
+	c.mu.Unlock()
+	c.adopt(m)
+}
+
 // adopt publishes the state of m unless it is in force already.
 func (c *term) adopt(m *fleet.Machine) {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/role/control/seats.go
@@ -0,0 +1,44 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fulmarmount.org/core/fleet"
+)
+
+// seatTimeout bounds one change of seats.
+const seatTimeout = 2 * time.Second
+
+// changeSeats has the durable state note agents that are new or have left. The
+// caller holds the lock.
+func (c *term) changeSeats() {
+	if c.seating || c.options.Fleet == nil {
+		return
+	}
+	change := fleet.SeatChange{Taken: c.registry.Unseated(), Left: c.registry.Vacant(c.elapsed())}
+	if len(change.Taken)+len(change.Left) == 0 {
+		return
+	}
+	c.seating = true
+	go c.replicateSeats(change)
+}
+
+func (c *term) replicateSeats(change fleet.SeatChange) {
+	ctx, cancel := context.WithTimeout(c.ctx, seatTimeout)
+	defer cancel()
+	err := c.options.Fleet.ChangeSeats(ctx, change)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seating = false
+	if err != nil {
+		c.options.Log.Warn("Could not note which agents there are.", zap.Error(err),
+			zap.Stringers("taken", change.Taken), zap.Stringers("left", change.Left))
+		return
+	}
+	c.options.Log.Info("Noted which agents there are.",
+		zap.Stringers("taken", change.Taken), zap.Stringers("left", change.Left))
+	c.options.Fleet.Peek(func(m *fleet.Machine) { c.registry.SetSeats(m.Seats()) })
+}
--- a/internal/role/control/term.go
+++ b/internal/role/control/term.go
@@ -47,6 +47,8 @@
 	registry      *lease.Registry
 	pending       *pending
 	published     []publication
+	// seating is set while a change of seats is being replicated.
+	seating bool
 }
 
 // startTerm begins to publish with an epoch.
@@ -139,6 +141,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expireExceptions(c.options.Now())
+	c.changeSeats()
 	for _, v := range c.registry.Tick(c.elapsed()) {
 		c.publish(v)
 	}
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -192,6 +192,6 @@
 		Service: a.instance.Service, ID: a.instance.ID, Zone: a.options.Zone,
 		Incarnation: view.Incarnation(a.instance.Run), Packets: a.conn.Addr(), Requests: a.conn.Addr(),
 		Slots: a.instance.Slots, Draining: a.instance.Draining || ended, Healthy: !ended,
-		Sequence: a.instance.Sequence<<serialBits + a.serial, Load: load.Running, Flows: load.Flows, Authoritative: true,
+		Sequence: a.instance.Sequence<<serialBits + a.serial, Load: load.Running, Flows: load.Flows, Authoritative: true, Ended: ended,
 	}, true
 }
