--- a/core/steer/balancer.go
+++ b/core/steer/balancer.go
@@ -170,15 +170,21 @@
 	}
 	m := b.loads.choose(now, firstTaking(t.order(id.Key, service), choices), b.zone)
 	if m == nil {
-		return b.noMember()
+		return b.noMember(t, service)
 	}
 	b.owners.set(now, id, owner{service: m.service, seed: m.peer.Seed, copies: s.Copy})
 	return Decision{Verdict: Forward, Reason: Placed, To: m.peer, Service: m.service, Hops: hops}
 }
 
-func (b *Balancer) noMember() Decision {
-	if !b.Current() {
+// noMember answers a new flow that no known member takes. Where members may be
+// missing, the copies of the SYN may find one; a reset would use up the caller's
+// tries within milliseconds.
+func (b *Balancer) noMember(t *Table, service view.ServiceID) Decision {
+	switch {
+	case !b.Current():
 		return Decision{Verdict: Drop, Reason: NotCurrent}
+	case !t.knows(service):
+		return Decision{Verdict: Drop, Reason: ViewPartial}
 	}
 	return Decision{Verdict: Reset, Reason: NoMember}
 }
--- a/core/steer/balancer_test.go
+++ b/core/steer/balancer_test.go
@@ -218,6 +218,19 @@
 		stranger.Tuple.Service = netip.MustParseAddrPort("198.18.0.9:80")
 		is.Equal(b.Steer(testAge, stranger), Decision{Verdict: Reset, Reason: NoRoute})
 	})
+	t.Run("they wait for members while a view is missing or partial", func(t *testing.T) {
+		is := is.New(t)
+		b := NewBalancer("a")
+		b.Adopt(b.Table().WithRoutes(Routes{address: {{Service: desk, Weight: 1}}}))
+		b.Confirm()
+		is.Equal(b.Steer(testAge, syn(1)), Decision{Verdict: Drop, Reason: ViewPartial})
+		v := view.New(desk, view.Version{Epoch: 2, Number: 1}, nil)
+		v.Partial = true
+		b.Adopt(b.Table().WithView(testAge, v))
+		is.Equal(b.Steer(testAge, syn(1)), Decision{Verdict: Drop, Reason: ViewPartial})
+		b.Adopt(b.Table().WithView(testAge, view.New(desk, view.Version{Epoch: 2, Number: 2}, servers(1, 1))))
+		is.Equal(b.Steer(testAge, syn(1)).Verdict, Forward)
+	})
 	t.Run("nothing is reset before the configuration is current", func(t *testing.T) {
 		is := is.New(t)
 		b := NewBalancer("a")
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -200,13 +200,19 @@
 // known.
 func (t *Table) whole(key uint64, addr netip.AddrPort) bool {
 	for _, service := range t.services(key, addr) {
-		if known, ok := t.partial[service]; known || !ok {
+		if !t.knows(service) {
 			return false
 		}
 	}
 	return true
 }
 
+// knows reports whether the view of a service is there and whole.
+func (t *Table) knows(service view.ServiceID) bool {
+	partial, ok := t.partial[service]
+	return ok && !partial
+}
+
 // find returns the member with a seed, or nil.
 func (t *Table) find(service view.ServiceID, seed uint64) *member {
 	list := t.members[service]
