Publish views as soon as every seat was heard

Cause: after the loss of all processes a new leader collected announcements for 200 ms although all agents had announced themselves sooner, and refused those that came before it had read the services; they came again 150 ms later. Change: collecting ends with the last awaited seat; announcements wait for the services. A process logs when it begins to start.

--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -173,7 +173,11 @@
 	return m
 }
 
-func (r *Registry) collecting(now time.Duration) bool { return !r.leading || now < r.collects }
+// collecting reports whether the first views of the epoch still wait for
+// announcements. Where the seats are known, they wait no longer than for these.
+func (r *Registry) collecting(now time.Duration) bool {
+	return !r.leading || now < r.collects && !r.allHeard()
+}
 
 // restarted begins the membership of a new run of a known backend server.
 func (r *Registry) restarted(now time.Duration, m *member, a *view.Announcement) {
--- a/core/lease/seats.go
+++ b/core/lease/seats.go
@@ -94,7 +94,10 @@
 	}
 }
 
+// allHeard reports whether every seat is known to have been heard.
+func (r *Registry) allHeard() bool { return r.seats != nil && len(r.seats.awaited) == 0 }
+
 // lacking reports whether views may lack members that exist.
 func (r *Registry) lacking(now time.Duration) bool {
-	return now < r.partial && (r.seats == nil || len(r.seats.awaited) > 0)
+	return now < r.partial && !r.allHeard()
 }
--- a/core/lease/seats_test.go
+++ b/core/lease/seats_test.go
@@ -40,6 +40,7 @@
 	is := is.New(t)
 	r := newLeader(seat(1), seat(2))
 	authoritative(t, r, 0, 1)
+	is.Equal(len(r.Tick(collect/2)), 0)
 	first := r.Tick(collect)
 	is.Equal(len(first), 1)
 	is.True(first[0].Partial)
@@ -95,3 +96,11 @@
 	r.SetSeats([]netip.AddrPort{seat(1)})
 	is.Equal(len(r.Unseated()), 0)
 }
+
+func TestViewsDoNotWaitOnceEverySeatWasHeard(t *testing.T) {
+	is := is.New(t)
+	r := newLeader(seat(1))
+	is.Equal(len(r.Tick(0)), 0)
+	authoritative(t, r, 10*time.Millisecond, 1)
+	is.Equal(len(r.Tick(10*time.Millisecond)), 1)
+}
--- a/internal/role/control/term.go
+++ b/internal/role/control/term.go
@@ -97,8 +97,15 @@
 	}
 }
 
-// announce serves one agent's announcements.
-func (c *term) announce(_ context.Context, from keys.Info, s *peer.Stream) {
+// announce serves one agent's announcements, once the services are known.
+func (c *term) announce(ctx context.Context, from keys.Info, s *peer.Stream) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-c.ctx.Done():
+		return
+	case <-c.current:
+	}
 	for {
 		var a view.Announcement
 		if err := s.Recv(&a); err != nil {
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -87,6 +87,7 @@
 	if err != nil {
 		return node.Options{}, err
 	}
+	log.Named("process").Info("Starting.", zap.String("name", s.Name))
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryLimit) << 20)
 	}
