End a race of connections with its context

Cause: OpenAny waited for the outcome of attempts that had already been given up when its context ended, and never returned: a daemon whose every control process was silent for the dial limit lost control for good. Change: the race ends with its context.

--- a/internal/peer/race.go
+++ b/internal/peer/race.go
@@ -39,6 +39,9 @@
 	var failed []error
 	for next, open := 0, 0; next < len(addrs) || open > 0; {
 		select {
+		case <-ctx.Done():
+			failed = append(failed, ctx.Err())
+			next, open = len(addrs), 0
 		case <-timer.C:
 			if next < len(addrs) {
 				go attempt(addrs[next])
--- a/internal/peer/race_test.go
+++ b/internal/peer/race_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -38,11 +39,16 @@
 	is.Equal(answer.Text, "hello")
 }
 
-func TestOpenAnyTellsWhatFailed(t *testing.T) {
+func TestOpenAnyEndsWithItsContext(t *testing.T) {
 	is := is.New(t)
 	p := pool(t, identity(t, newSet(t), "host-1", keys.Agent))
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_, _, err := p.OpenAny(ctx, []netip.AddrPort{deaf(t)}, echoKind, false)
-	is.True(err != nil)
+	for _, limit := range []time.Duration{0, time.Millisecond, 2 * raceStagger} {
+		// Whichever of an attempt's error and the end of the context comes first.
+		for range 10 {
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			_, _, err := p.OpenAny(ctx, []netip.AddrPort{deaf(t), deaf(t)}, echoKind, false)
+			cancel()
+			is.True(err != nil)
+		}
+	}
 }
