Keep an agent's flows through its restart

A successor lacked the flows and the promises that other agents rely on. Change: an agent of a service of mode packet leaves flows, promises, the local addresses of its sockets and its run to the next process, which goes on as the same run if it starts within a second. The test's fleet sets 'handover' for agents as it does for balancers. Requests and streams still drain.

--- /dev/null
+++ b/core/flow/export_test.go
@@ -0,0 +1,42 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fulmarmount.org/core/view"
+)
+
+func TestExportKeepsOwnershipPointersAndPromises(t *testing.T) {
+	is := is.New(t)
+	const now = 10 * time.Second
+	self, other := Peer{Seed: 1, Incarnation: 1}, Peer{Seed: 2, Incarnation: 7}
+	before := NewAgent(AgentOptions{Self: self})
+	ballot := Ballot{Version: view.Version{Epoch: 3, Number: 4}, Retake: true}
+	before.Import(now, []Saved{
+		{ID: ID{Key: 1, Check: 1}, Owned: true, Idle: time.Second},
+		{ID: ID{Key: 2, Check: 2}, Owner: other, Bound: ballot, Home: other},
+		{ID: ID{Key: 3, Check: 3}, Bound: ballot},
+	})
+	first := before.Export(now)
+	is.Equal(len(first), 3)
+	after := NewAgent(AgentOptions{Self: self})
+	after.Import(2*time.Second, first) // its clock has another start
+	second := after.Export(2 * time.Second)
+	is.Equal(second, first)
+	is.True(after.Owns(ID{Key: 1, Check: 1}))
+	is.Equal(after.owned.Load(), int64(1))
+	for _, s := range second {
+		switch s.ID.Key {
+		case 2:
+			is.Equal(s.Owner, other)
+			is.Equal(s.Home, other)
+			is.Equal(s.Bound, ballot)
+		case 3:
+			is.Equal(s.Bound, ballot)
+			is.True(!s.Owned && s.Owner.IsZero())
+		}
+	}
+}
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -115,7 +115,7 @@
 		text = append(text, string(r))
 	}
 	handover := ""
-	if slices.Equal(roles, []keys.Role{keys.Balancer}) {
+	if slices.Equal(roles, []keys.Role{keys.Balancer}) || slices.Equal(roles, []keys.Role{keys.Agent}) {
 		handover = fmt.Sprintf("handover = %s.handover\n", name)
 	}
 	ini := fmt.Sprintf("[process]\nname = %[1]s\nzone = zone-a\nroles = %[2]s\nstop_timeout = 5s\ndata_dir = data/%[1]s\n%[4]s\n"+
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -101,6 +101,14 @@
 	})
 }
 
+// handoverFile returns where an agent leaves its flows; empty for nowhere.
+func (o Options) handoverFile(s settings.Agent) string {
+	if o.Settings.Handover == "" {
+		return ""
+	}
+	return o.Settings.Handover + "." + s.ID
+}
+
 func startAgent(o Options, s settings.Agent) (role, error) {
 	return agent.Start(agent.Options{
 		ID:          s.ID,
@@ -112,6 +120,7 @@
 		Requests:    s.Requests,
 		Slots:       uint16(s.Slots),
 		IdleTimeout: s.IdleTimeout,
+		Handover:    o.handoverFile(s),
 		MTU:         s.MTU,
 		Control:     o.Settings.Join.Control,
 		ServerTLS:   o.Identity.ServerTLSFor([]keys.Role{keys.Balancer, keys.Agent}, peer.Protocol),
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -7,6 +7,7 @@
 	"go.uber.org/fx"
 
 	"fulmarmount.org/fulmarmount/internal/handover"
+	"fulmarmount.org/fulmarmount/internal/settings"
 )
 
 // Succession hands the process's roles over to a successor on the same VM. It
@@ -84,7 +85,7 @@
 
 // registerHandover waits for a successor once every role has started.
 func registerHandover(lc fx.Lifecycle, o Options, s *Succession) {
-	if o.Settings.Handover == "" {
+	if o.Settings.Handover == "" || !o.Settings.Has(settings.RoleBalancer) {
 		return
 	}
 	var server *handover.Server
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -57,6 +57,9 @@
 	ClientTLS func() *tls.Config
 	// Keys seal the envelopes.
 	Keys packet.Keys
+	// Handover is the file in which a stopping agent of a service of mode packet
+	// leaves its flows to its successor; empty for none.
+	Handover string
 	// Session is a random number for this run's envelopes.
 	Session uint64
 	// Now is the clock.
@@ -88,6 +91,14 @@
 	tasks     sync.WaitGroup
 	tunnels   atomic.Int64
 	draining  atomic.Bool
+	// sequence is the number of the last announcement of a predecessor,
+	// announced that of this process.
+	sequence  uint64
+	announced atomic.Uint64
+	// own is the service's configuration, packetMode whether it is of mode packet.
+	own           atomic.Pointer[proto.Service]
+	packetMode    atomic.Bool
+	envelopesRead sync.WaitGroup
 	// left is closed once control has taken an announcement of draining.
 	left     chan struct{}
 	leftOnce sync.Once
@@ -95,6 +106,10 @@
 
 // Start opens the sockets, announces the backend server and serves until Close.
 func Start(o Options) (*Agent, error) {
+	inherited := takeSuccession(o)
+	if inherited != nil {
+		o.Incarnation = inherited.Incarnation
+	}
 	envelopes, err := udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: o.ReadBuffer})
 	if err != nil {
 		return nil, err
@@ -137,7 +152,8 @@
 		_ = envelopes.Close()
 		return nil, err
 	}
-	a.tasks.Go(a.readEnvelopes)
+	a.inherit(inherited)
+	a.envelopesRead.Go(a.readEnvelopes)
 	a.tasks.Go(func() { a.sweep(ctx) })
 	a.tasks.Go(func() { a.push(ctx) })
 	a.tasks.Go(func() { a.announce(ctx) })
@@ -164,9 +180,12 @@
 	idleCheck = 50 * time.Millisecond
 )
 
-// Stop leaves the service: it takes no new work, finishes what it has and
+// Stop leaves the flows to a successor where it can. Else it leaves the service: it takes no new work, finishes what it has and
 // closes, at the latest when ctx ends.
 func (a *Agent) Stop(ctx context.Context) error {
+	if a.canBequeath() {
+		return a.bequeath()
+	}
 	a.draining.Store(true)
 	select {
 	case <-ctx.Done():
@@ -195,6 +214,7 @@
 	a.requests.Close()
 	_ = a.server.Close()
 	a.pool.Close()
+	a.envelopesRead.Wait()
 	a.tasks.Wait()
 	return err
 }
@@ -210,6 +230,8 @@
 func (a *Agent) adopt(u proto.Update) {
 	for _, s := range u.Services {
 		if s.Name == a.options.Service {
+			a.own.Store(&s)
+			a.packetMode.Store(s.Mode == proto.ModePacket)
 			a.service.Store(uint32(s.ID))
 			a.requests.SetPolicy(gateway.PolicyFor(s))
 			a.limits.setService(s.Settings, a.options.IdleTimeout)
--- a/internal/role/agent/announce.go
+++ b/internal/role/agent/announce.go
@@ -31,7 +31,7 @@
 // silent says nothing about control: a fresh one, from a new port, is tried at
 // once before another control process is.
 func (a *Agent) announce(ctx context.Context) {
-	var sequence uint64
+	sequence := a.sequence
 	for i := 0; ctx.Err() == nil; i++ {
 		control := a.options.Control[i%len(a.options.Control)]
 		err := a.renew(ctx, control, a.pool.Open, &sequence)
@@ -60,6 +60,7 @@
 	defer stop()
 	for {
 		*sequence++
+		a.announced.Store(*sequence)
 		announcement := a.announcement(*sequence)
 		if err := s.Send(announcement); err != nil {
 			return err
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -126,7 +126,7 @@
 
 // takeOver asks a predecessor on this VM for what it holds.
 func takeOver(o node.Options) (handover.Bundle, error) {
-	if o.Settings.Handover == "" {
+	if o.Settings.Handover == "" || !o.Settings.Has(settings.RoleBalancer) {
 		return nil, nil
 	}
 	bundle, err := handover.Take(o.Settings.Handover)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -34,8 +34,8 @@
 	if len(out.Roles) > 0 && !out.Has(RoleControl) && len(out.Join.Control) == 0 {
 		p.section("join").Fail("control", "a process without role %q needs control addresses", RoleControl)
 	}
-	if out.Handover != "" && (out.Has(RoleAgent) || out.Has(RoleControl)) {
-		process.Fail("handover", "only a process whose one role is %q can hand over", RoleBalancer)
+	if out.Handover != "" && (len(out.Roles) > 1 || out.Has(RoleControl)) {
+		process.Fail("handover", "only a process whose one role is %q or %q can hand over", RoleBalancer, RoleAgent)
 	}
 	p.checkKeys(out, process)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,8 +36,9 @@
 	// MemoryLimit is the memory that the process tries to stay within, in MiB;
 	// 0 sets no limit.
 	MemoryLimit int
-	// Handover is the path of the unix socket on which a process and its
-	// successor meet; empty for none.
+	// Handover is the path of the unix socket on which a balancer and its
+	// successor meet, or the beginning of the path of the files in which an agent
+	// leaves its flows to its successor; empty for none.
 	Handover string
 	// Metrics is the HTTP address of the counters; the zero value stands for none.
 	Metrics netip.AddrPort
