--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -74,8 +74,10 @@
 			[]step{{quorum.Promote, 4}, {quorum.RemoveMember, 3}},
 		},
 		{
-			"too few voters", []quorum.Member{member(1, "a", false), member(2, "b", true), member(3, "c", true)},
-			nil, []step{{quorum.Promote, 2}, {quorum.Promote, 3}},
+			"too few voters",
+			[]quorum.Member{member(1, "a", false), member(2, "b", true), member(3, "c", true)},
+			nil,
+			[]step{{quorum.Promote, 2}, {quorum.Promote, 3}},
 		},
 		{
 			"a spare that never comes back is forgotten",
