--- /dev/null
+++ b/core/steer/host_test.go
@@ -0,0 +1,149 @@
+package steer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fulmarmount.org/core/view"
+)
+
+const patience = 2 * time.Second
+
+// newHost returns a host that serves desk at address, started at 0.
+func newHost(standing Standing, whole bool) *Host {
+	h := NewHost(0, HostOptions{Patience: patience, Idle: 15 * time.Second})
+	h.SetService(desk, view.Version{Epoch: 1, Number: 5}, []netip.AddrPort{address})
+	h.Begin(!whole)
+	if standing != Unheard {
+		h.SetStanding(standing)
+	}
+	return h
+}
+
+func arrival(number uint64) Arrival {
+	return Arrival{
+		Service: desk, Position: view.Version{Epoch: 1, Number: number},
+		Balancer: netip.MustParseAddrPort("10.0.1.1:7000"),
+	}
+}
+
+// answer is a packet of the backend server in a flow.
+func answer(n int, flags Flags, length int) *Segment {
+	return &Segment{Tuple: tuple(n), Flags: flags, Length: length}
+}
+
+func TestNewFlowsAreJudgedByTheNewerConfiguration(t *testing.T) {
+	other := syn(1)
+	other.Tuple.Service = netip.MustParseAddrPort("198.18.0.9:80")
+	foreign := arrival(5)
+	foreign.Service = hall
+	cases := []struct {
+		name     string
+		standing Standing
+		segment  *Segment
+		arrival  Arrival
+		want     Refusal
+	}{
+		{"serving", Serving, syn(1), arrival(5), NoRefusal},
+		{"draining", Draining, syn(1), arrival(5), NotTaking},
+		{"left", Left, syn(1), arrival(5), NotTaking},
+		{"not heard yet", Unheard, syn(1), arrival(5), NotTaking},
+		{"meant for another service", Serving, syn(1), foreign, OtherService},
+		{"an address that was dropped here", Serving, other, arrival(5), NotRouted},
+		{"an older balancer", Serving, other, arrival(4), NotRouted},
+		{"an address that is new at the balancer", Serving, other, arrival(6), NoRefusal},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newHost(c.standing, true).Receive(testAge, c.segment, c.arrival)
+			is.Equal(d.Refusal, c.want)
+			is.Equal(d.Verdict == Deliver, c.want == NoRefusal)
+		})
+	}
+}
+
+func TestDrainingBackendServerKeepsItsFlows(t *testing.T) {
+	is := is.New(t)
+	h := newHost(Serving, true)
+	h.Receive(testAge, syn(1), arrival(5))
+	is.Equal(h.Sent(testAge, answer(1, SYN|ACK, 0)), arrival(5).Balancer)
+	h.SetStanding(Draining)
+	is.Equal(h.Receive(testAge, data(1), arrival(5)).Verdict, Deliver)
+}
+
+func TestUnknownFlows(t *testing.T) {
+	t.Run("are returned where every flow is known", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(newHost(Serving, true).Receive(testAge, data(1), arrival(5)).Refusal, Unknown)
+	})
+	t.Run("are left to the backend server after a restart", func(t *testing.T) {
+		is := is.New(t)
+		h := newHost(Serving, false)
+		d := h.Receive(testAge, data(1), arrival(5))
+		is.Equal(d.Verdict, Deliver)
+		// It holds the flow: the balancer is told once.
+		is.Equal(h.Sent(testAge, answer(1, ACK, 10)), arrival(5).Balancer)
+		is.Equal(h.Sent(testAge, answer(1, ACK, 10)), netip.AddrPort{})
+		// It does not: the bounce finds its way back.
+		d = h.Receive(testAge, data(2), arrival(5))
+		from, ok := h.Bounced(data(2), d.Token)
+		is.True(ok)
+		is.Equal(from, arrival(5))
+		_, ok = h.Bounced(data(2), 0)
+		is.True(!ok)
+	})
+	t.Run("are returned once no earlier flow can live", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(newHost(Serving, false).Receive(MaxFlowAge+1, data(1), arrival(5)).Refusal, Unknown)
+	})
+}
+
+func TestSilenceEndsABackendServer(t *testing.T) {
+	is := is.New(t)
+	h := newHost(Serving, true)
+	h.Receive(0, syn(1), arrival(5))
+	var ended time.Duration
+	for now := time.Duration(0); now < 2*patience; now += 100 * time.Millisecond {
+		if h.Tick(now) {
+			ended = now
+		}
+	}
+	is.True(ended > patience && ended <= patience+200*time.Millisecond)
+	is.Equal(h.Receive(2*patience, data(1), arrival(5)).Refusal, Ended)
+	is.Equal(h.Receive(2*patience, data(2), arrival(5)).Refusal, Unknown)
+	h.SetStanding(Serving)
+	is.True(!h.Ended())
+}
+
+// A process that stood still itself has not heard anything, which proves nothing.
+func TestTimeInWhichTheAgentStoodStillIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	h := newHost(Serving, true)
+	h.Tick(100 * time.Millisecond)
+	is.True(!h.Tick(time.Minute))
+	is.True(!h.Ended())
+}
+
+func TestLoadFollowsRequestsAndFlows(t *testing.T) {
+	is := is.New(t)
+	h := newHost(Serving, true)
+	h.Receive(0, syn(1), arrival(5))
+	h.Sent(0, answer(1, SYN|ACK, 0))
+	is.Equal(h.Load(), Load{Flows: 1})
+	h.Receive(0, data(1), arrival(5))
+	h.Receive(0, data(1), arrival(5)) // a long request is one
+	is.Equal(h.Load(), Load{Flows: 1, Running: 1})
+	h.Sent(0, answer(1, ACK, 10))
+	is.Equal(h.Load(), Load{Flows: 1})
+	h.Receive(0, data(1), arrival(5))
+	h.Sent(0, answer(1, RST, 0))
+	is.Equal(h.Load(), Load{})
+	h.Receive(0, syn(2), arrival(5))
+	h.Receive(0, data(2), arrival(5))
+	h.Begin(false) // a new run holds nothing
+	is.Equal(h.Load(), Load{})
+}
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -69,6 +69,7 @@
 
 // StartAgent opens the sockets and serves until Stop.
 func StartAgent(o AgentOptions) (*Agent, error) {
+	o.Retry = o.Retry.WithDefaults()
 	outbound, err := udp.Listen(udp.Options{Addr: o.Outbound, ReadBuffer: readBuffer})
 	if err != nil {
 		return nil, err
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -385,3 +385,6 @@
 
 // tickInterval is how often an agent looks at its timers.
 const tickInterval = 100 * time.Millisecond
+
+// Available returns how many backend servers take new flows of an address.
+func (b *Balancer) Available(addr netip.AddrPort) int { return b.steer.Table().Available(addr) }
--- a/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -49,7 +49,8 @@
 	Dial time.Duration
 }
 
-func (r Retry) withDefaults() Retry {
+// WithDefaults returns r with defaults in place of zero values.
+func (r Retry) WithDefaults() Retry {
 	return Retry{
 		First: cmp.Or(r.First, firstSpread),
 		Max:   cmp.Or(r.Max, maxSpread),
@@ -80,7 +81,7 @@
 // Run follows the fleet's state until ctx ends. Where control is lost, what is
 // in force stays, and other control processes are tried after a delay.
 func Run(ctx context.Context, o Options) {
-	o.Retry = o.Retry.withDefaults()
+	o.Retry = o.Retry.WithDefaults()
 	s := &subscription{options: o, started: o.Now()}
 	store := spread.NewStore(spread.StoreOptions{DropBodies: true})
 	s.sink = spread.NewSink(0, store, spread.SinkOptions{ID: o.Name, Keys: o.Keys})
