Count only requests whose callers wait

Cause: an agent took a request as running until the first bytes of its answer. One whose caller had given up, and one that was sent again after its answer, ran for 15 s in its reports: after an outage members looked busy that were idle. Change: the caller's FIN or RST ends its wait, and only bytes that are new begin one.

--- a/core/steer/host.go
+++ b/core/steer/host.go
@@ -79,9 +79,11 @@
 
 // hostFlow is a flow that the backend server holds.
 type hostFlow struct {
-	seen      time.Duration
-	balancer  netip.AddrPort // that brought the newest SYN
-	running   bool
+	seen     time.Duration
+	balancer netip.AddrPort // that brought the newest SYN
+	running  bool
+	// asked is the sequence number after the newest bytes of the caller.
+	asked     uint32
 	hostFIN   bool
 	callerFIN bool
 }
@@ -270,11 +272,35 @@
 		return
 	}
 	f.seen = now
-	if s.Length > 0 && !f.running {
-		f.running = true
+	f.callerFIN = f.callerFIN || s.Flags&(FIN|RST) != 0
+	switch {
+	case f.callerFIN:
+		h.setRunning(f, false) // the caller waits no longer
+	case s.Length > 0 && f.advances(s):
+		h.setRunning(f, true)
+	}
+}
+
+// advances reports whether a segment carries bytes that the caller has not sent
+// before, and notes them.
+func (f *hostFlow) advances(s *Segment) bool {
+	end := s.Seq + uint32(s.Length)
+	if int32(end-f.asked) <= 0 && f.asked != 0 {
+		return false
+	}
+	f.asked = end
+	return true
+}
+
+// setRunning notes whether a flow's caller waits for an answer.
+func (h *Host) setRunning(f *hostFlow, running bool) {
+	switch {
+	case running && !f.running:
 		h.running++
+	case !running && f.running:
+		h.running--
 	}
-	f.callerFIN = f.callerFIN || s.Has(FIN)
+	f.running = running
 }
 
 // remember stores an arrival until its segment may bounce. Tokens are never 0.
@@ -304,9 +330,7 @@
 	if f == nil {
 		return
 	}
-	if f.running {
-		h.running--
-	}
+	h.setRunning(f, false)
 	delete(h.flows, id)
 }
 
@@ -327,9 +351,8 @@
 		h.flows[id] = f
 	}
 	f.seen = now
-	if s.Length > 0 && f.running {
-		f.running = false
-		h.running--
+	if s.Length > 0 {
+		h.setRunning(f, false)
 	}
 	f.hostFIN = f.hostFIN || s.Has(FIN)
 	if s.Has(SYN) {
--- a/core/steer/host_test.go
+++ b/core/steer/host_test.go
@@ -134,14 +134,27 @@
 	h.Receive(0, syn(1), arrival(5))
 	h.Sent(0, answer(1, SYN|ACK, 0))
 	is.Equal(h.Load(), Load{Flows: 1})
-	h.Receive(0, data(1), arrival(5))
-	h.Receive(0, data(1), arrival(5)) // a long request is one
+	request := data(1)
+	h.Receive(0, request, arrival(5))
+	request.Seq += uint32(request.Length)
+	h.Receive(0, request, arrival(5)) // a long request is one
 	is.Equal(h.Load(), Load{Flows: 1, Running: 1})
 	h.Sent(0, answer(1, ACK, 10))
 	is.Equal(h.Load(), Load{Flows: 1})
-	h.Receive(0, data(1), arrival(5))
+	h.Receive(0, request, arrival(5)) // sent again, and answered already
+	is.Equal(h.Load(), Load{Flows: 1})
+	request.Seq += uint32(request.Length)
+	h.Receive(0, request, arrival(5))
+	is.Equal(h.Load(), Load{Flows: 1, Running: 1})
 	h.Sent(0, answer(1, RST, 0))
 	is.Equal(h.Load(), Load{})
+	for _, gone := range []Flags{FIN | ACK, RST} { // the caller gives up
+		h.Receive(0, syn(3), arrival(5))
+		h.Receive(0, data(3), arrival(5))
+		h.Receive(0, answer(3, gone, 0), arrival(5))
+		is.Equal(h.Load().Running, uint32(0))
+		h.Sent(0, answer(3, RST, 0))
+	}
 	h.Receive(0, syn(2), arrival(5))
 	h.Receive(0, data(2), arrival(5))
 	h.Begin(false) // a new run holds nothing
