--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -234,10 +234,10 @@
 	for {
 		n, from, _, err := a.outbound.Read(buf)
 		if err != nil {
-			if a.ctx.Err() != nil {
+			if a.ended(err) {
 				return
 			}
-			continue // an ICMP error of an earlier send
+			continue
 		}
 		h, err := a.options.Codec.Decode(buf[:n], FromBackend)
 		if err != nil {
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -212,7 +212,10 @@
 	for {
 		n, from, _, err := b.callers.Read(buf)
 		if err != nil {
-			return
+			if b.ended(err) {
+				return
+			}
+			continue
 		}
 		h, err := b.options.Codec.Decode(buf[:n], FromCaller)
 		if err != nil {
--- a/internal/segment/envelope.go
+++ b/internal/segment/envelope.go
@@ -1,8 +1,11 @@
 package segment
 
 import (
+	"errors"
+	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
@@ -60,7 +63,10 @@
 	for {
 		n, from, _, err := e.conn.Read(buf)
 		if err != nil {
-			return
+			if e.ended(err) {
+				return
+			}
+			continue
 		}
 		payload, err := e.opener.Open(buf[:n], &header)
 		if err != nil {
@@ -72,6 +78,21 @@
 	}
 }
 
+// readPause is the pause after a read that failed, in case the next one fails too.
+const readPause = 10 * time.Millisecond
+
+// ended reports whether a read failed because its socket was closed. Other failures
+// are logged, and the socket is read on.
+func (e *envelopes) ended(err error) bool {
+	if errors.Is(err, net.ErrClosed) {
+		return true
+	}
+	e.counts.failed.Add(1)
+	e.log.Warn("Could not read from a socket.", zap.Error(err))
+	time.Sleep(readPause)
+	return false
+}
+
 // sendNote tells a balancer about a flow, or about the load alone.
 func (e *envelopes) sendNote(to netip.AddrPort, tuple flow.Tuple, n note) {
 	payload, err := cbor.Marshal(n)
