--- a/core/steer/loads.go
+++ b/core/steer/loads.go
@@ -29,6 +29,9 @@
 	// placedTime is how long a flow that was just placed counts beside the
 	// reports, which may not have it yet.
 	placedTime = 100 * time.Millisecond
+	// zoneGain is the load in thousandths of a request a slot that a way within
+	// the zone is worth.
+	zoneGain = 150
 	// fullAt is the number of requests in tenths of a slot with which a member is
 	// full: those beyond the slots wait.
 	fullAt = 30
@@ -124,8 +127,8 @@
 
 // choose returns the member with the least load among those that take new flows
 // and are not suspected, and notes that a flow is placed there. Where all are
-// suspected, it is the first that takes new flows. The zone decides between
-// equal loads.
+// suspected, it is the first that takes new flows. A member of the balancer's own
+// zone is taken to have zoneGain less load.
 func (l *loads) choose(now time.Duration, candidates []*member, zone string) *member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -143,7 +146,10 @@
 			continue
 		}
 		load := found.cost(now, m)
-		if best == nil || load < least || load == least && m.zone == zone && best.zone != zone {
+		if m.zone != zone {
+			load += zoneGain
+		}
+		if best == nil || load < least {
 			best, least = m, load
 		}
 	}
