Renew leases by one client

Cause: the agents of mode segment and of the other modes had a copy each of the loop that renews a lease; the newer one did not replace a connection that had gone silent before it tried another control process, as its comment said. Change: internal/announce serves both. internal/segment is split by job. TestSilentConnectionToControlCostsNoLease green.

--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -35,6 +35,9 @@
 	IdleTimeout time.Duration
 }
 
+// tickInterval is how often an agent looks at its timers.
+const tickInterval = 100 * time.Millisecond
+
 // Agent is the running agent role beside one backend server.
 type Agent struct {
 	options  AgentOptions
@@ -300,32 +303,3 @@
 		a.sendNote(balancer, noTuple, n)
 	}
 }
-
-// AgentDump is the state of an agent.
-type AgentDump struct {
-	Instance Instance       `json:"instance"`
-	Service  view.ServiceID `json:"service"`
-	Standing string         `json:"standing"`
-	Ended    bool           `json:"ended"`
-	Counters any            `json:"counters"`
-}
-
-// Dump returns the state of the role.
-func (a *Agent) Dump() any {
-	a.mu.Lock()
-	d := AgentDump{Instance: a.instance, Service: a.service}
-	a.mu.Unlock()
-	d.Standing, d.Ended, d.Counters = a.host.Standing().String(), a.host.Ended(), a.Counters()
-	return d
-}
-
-// Counters returns the counts of the role.
-func (a *Agent) Counters() any {
-	load := a.host.Load()
-	return AgentCounters{
-		Delivered: a.delivered.Load(), Replied: a.replied.Load(), Returned: a.sentBack.Load(), Bounced: a.bounced.Load(),
-		Reports: a.reports.Load(), Notes: a.counts.notes.Load(), Failed: a.counts.failed.Load(),
-		Refused: a.counts.refused.Load(), Garbled: a.counts.garbled.Load(),
-		Flows: load.Flows, Running: load.Running, Answering: a.answering.Summary(),
-	}
-}
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -2,31 +2,18 @@
 
 import (
 	"context"
-	"net/netip"
-	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/steer"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/fulmarmount/internal/pace"
-	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/announce"
 	"fulmarmount.org/fulmarmount/internal/proto"
 	"fulmarmount.org/fulmarmount/internal/subscribe"
 )
 
-const (
-	// renewInterval is the time between announcements until control has told
-	// the lease.
-	renewInterval = time.Second
-	// renewals is the number of announcements in one lease.
-	renewals = 3
-	// answerLimit bounds the wait for the answer to an announcement.
-	answerLimit = time.Second
-	// serialBits is the room for the announcements of one report.
-	serialBits = 24
-)
+// serialBits is the room for the announcements of one report.
+const serialBits = 24
 
 // Heard takes what the backend server says of itself. An error of type
 // BadAnnouncement names no backend server to use; one of type Stale is from a
@@ -108,72 +95,12 @@
 	})
 }
 
-// announce renews the lease until ctx ends. A connection that has gone silent is
-// replaced by a fresh one before another control process is tried.
+// announce renews the lease until ctx ends.
 func (a *Agent) announce(ctx context.Context) {
-	for i := 0; ctx.Err() == nil; i++ {
-		control := a.options.Control()
-		first := i % len(control)
-		order := append(slices.Clone(control[first:]), control[:first]...)
-		if err := a.renew(ctx, order); err != nil && ctx.Err() == nil {
-			a.options.Log.Warn("Lost the lease's connection.", zap.Error(err))
-		}
-		pace.Sleep(ctx, pace.Jitter(a.options.Retry.First))
-	}
-}
-
-// renew announces on one stream until it fails.
-func (a *Agent) renew(ctx context.Context, control []netip.AddrPort) error {
-	dial, stopDial := context.WithTimeout(ctx, a.options.Retry.Dial)
-	s, addr, err := a.pool.OpenAny(dial, control, proto.Announce, false)
-	stopDial()
-	if err != nil {
-		return err
-	}
-	defer s.Abort()
-	stop := context.AfterFunc(ctx, s.Abort)
-	defer stop()
-	a.options.Log.Info("Announces to control.", zap.Stringer("control", addr))
-	for {
-		wait := renewInterval
-		if announcement, ok := a.announcement(); ok {
-			if wait, err = a.exchange(s, announcement); err != nil {
-				return err
-			}
-		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-a.changed:
-		}
-		timer.Stop()
-		if ctx.Err() != nil {
-			return nil
-		}
-	}
-}
-
-// exchange announces once and returns the time until the next announcement.
-func (a *Agent) exchange(s *peer.Stream, announcement view.Announcement) (time.Duration, error) {
-	if err := s.Send(announcement); err != nil {
-		return 0, err
-	}
-	if err := s.SetReadDeadline(time.Now().Add(answerLimit)); err != nil {
-		return 0, err
-	}
-	var reply proto.AnnounceReply
-	if err := s.Recv(&reply); err != nil {
-		return 0, err
-	}
-	if !reply.Accepted {
-		a.options.Log.Warn("Control refused the announcement.", zap.String("reason", reply.Reason))
-		return min(renewInterval, a.options.Retry.First), nil
-	}
-	if reply.Lease <= 0 {
-		return renewInterval, nil
-	}
-	return reply.Lease / renewals, nil
+	announce.Run(ctx, announce.Options{
+		Control: a.options.Control, Pool: a.pool, Retry: a.options.Retry,
+		Next: a.announcement, Changed: a.changed, Log: a.options.Log,
+	})
 }
 
 // announcement returns what to tell control; false before the backend server was
