--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -33,12 +33,7 @@
 }
 
 // String returns the kind's name.
-func (k Kind) String() string {
-	if name, ok := kindNames[k]; ok {
-		return name
-	}
-	return fmt.Sprintf("kind(%d)", uint8(k))
-}
+func (k Kind) String() string { return nameOf(kindNames, k, "kind") }
 
 // MarshalText returns the kind's name.
 func (k Kind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
@@ -46,6 +41,14 @@
 // UnmarshalText reads the kind's name.
 func (k *Kind) UnmarshalText(text []byte) error { return unmarshalName(kindNames, k, text) }
 
+// nameOf returns the name of value, or its number behind what it is.
+func nameOf[T ~uint8](names map[T]string, value T, what string) string {
+	if name, ok := names[value]; ok {
+		return name
+	}
+	return fmt.Sprintf("%s(%d)", what, uint8(value))
+}
+
 // unmarshalName sets value to the one that names has text for.
 func unmarshalName[T comparable](names map[T]string, value *T, text []byte) error {
 	for v, name := range names {
@@ -109,12 +112,7 @@
 }
 
 // String returns the outcome's name.
-func (o Outcome) String() string {
-	if name, ok := outcomeNames[o]; ok {
-		return name
-	}
-	return fmt.Sprintf("outcome(%d)", uint8(o))
-}
+func (o Outcome) String() string { return nameOf(outcomeNames, o, "outcome") }
 
 // MarshalText returns the outcome's name.
 func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
