Let a report of load hold for three seconds

Cause: read in the diff: agents stop telling their load to a balancer that has sent them nothing for 5 s, and the last report held for ever. Where it said that every member was full, the balancer left each next SYN to its last copy. Change: a report holds for 3 s. Settings of mode segment without an adapter are refused at the start.

--- a/core/steer/balancer_test.go
+++ b/core/steer/balancer_test.go
@@ -262,6 +262,9 @@
 	}
 	is.Equal(b.Steer(testAge, again).Verdict, Forward)
 	is.Equal(b.Steer(testAge, data(1)).Verdict, Forward) // open flows go on
+	// Agents tell nothing to a balancer that sends nothing: what they told last
+	// does not hold for ever.
+	is.Equal(b.Steer(testAge+reportTime+1, syn(3)).Verdict, Forward)
 }
 
 func TestPortionsAreKeptByAllBalancers(t *testing.T) {
--- a/core/steer/loads.go
+++ b/core/steer/loads.go
@@ -29,6 +29,9 @@
 	// placedTime is how long a flow that was just placed counts beside the
 	// reports, which may not have it yet.
 	placedTime = 100 * time.Millisecond
+	// reportTime is how long a report holds. Agents tell an unchanged load more
+	// often to whoever sends them packets.
+	reportTime = 3 * time.Second
 	// zoneGain is the load in thousandths of a request a slot that a way within
 	// the zone is worth.
 	zoneGain = 150
@@ -175,13 +178,21 @@
 		}
 		taking = true
 		found := l.of(m)
-		if (int(found.report.Running)+found.recent(now))*10 < int(m.slots)*fullAt {
+		if (int(found.newest(now).Running)+found.recent(now))*10 < int(m.slots)*fullAt {
 			return false
 		}
 	}
 	return taking
 }
 
+// newest returns the report that holds, or none.
+func (f *memberLoad) newest(now time.Duration) Load {
+	if now-f.at > reportTime {
+		return Load{}
+	}
+	return f.report
+}
+
 // recent returns the number of flows that were placed since the report.
 func (f *memberLoad) recent(now time.Duration) int {
 	recent := 0
@@ -197,6 +208,7 @@
 
 // cost returns the load of one slot at full weight, in thousandths of a request.
 func (f *memberLoad) cost(now time.Duration, m *member) uint64 {
-	total := uint64(f.report.Flows)*flowCost + (uint64(f.report.Running)+uint64(f.recent(now)))*requestCost
+	report := f.newest(now)
+	total := uint64(report.Flows)*flowCost + (uint64(report.Running)+uint64(f.recent(now)))*requestCost
 	return total * view.FullWeight / (uint64(m.slots) * uint64(max(m.weight, 1)))
 }
--- a/internal/node/segments.go
+++ b/internal/node/segments.go
@@ -50,13 +50,23 @@
 	}
 }
 
+// errNoPlatform is the type for settings of mode segment in a program without an
+// adapter to read the packets.
+var errNoPlatform = namespace.NewType("no_platform")
+
 func startSegmentBalancer(o Options) (role, error) {
+	if o.Platform == nil {
+		return nil, errNoPlatform.New("section [segments] needs a platform's adapter")
+	}
 	return segment.StartBalancer(segment.BalancerOptions{
 		Common: o.segmentOptions("balancer"), Callers: o.Settings.Segments.Callers, LeaveTime: o.Settings.Segments.LeaveTime,
 	})
 }
 
 func startSegmentAgent(o Options) (role, error) {
+	if o.Platform == nil {
+		return nil, errNoPlatform.New("section [segments] needs a platform's adapter")
+	}
 	s := o.Settings.Segments
 	return segment.StartAgent(segment.AgentOptions{
 		Common: o.segmentOptions("agent"), Service: s.Service, Backend: s.Backend, Outbound: s.Outbound,
