Announce to different control processes, and not through one without a group

Change: announcements use the order of subscriptions, which differs by daemon; a process that belongs to no control group refuses streams at once.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net/netip"
 	"os"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +31,8 @@
 
 // Options configure Run.
 type Options struct {
+	// Name is the daemon's.
+	Name string
 	// Control returns the addresses of control processes, at least one.
 	Control func() []netip.AddrPort
 	// Pool connects to them.
@@ -71,9 +72,7 @@
 // renew announces on one stream until it fails. The turn chooses the control
 // process that is tried first.
 func (o *Options) renew(ctx context.Context, turn int, fresh bool) error {
-	control := o.Control()
-	first := turn % len(control)
-	order := append(slices.Clone(control[first:]), control[:first]...)
+	order := subscribe.Order(o.Name, o.Control(), turn)
 	dial, stopDial := context.WithTimeout(ctx, o.Retry.Dial)
 	s, addr, err := o.Pool.OpenAny(dial, order, proto.Announce, fresh)
 	stopDial()
--- a/internal/group/join_test.go
+++ b/internal/group/join_test.go
@@ -43,6 +43,8 @@
 	is.NoErr(os.RemoveAll(b.path(b.peers[i])))
 	b.joining = true
 	again := b.open(b.peers[i])
+	l, _ := again.Leadership()
+	is.True(l.Waiting || l.Leader.IsValid()) // until it was added
 	is.True(awaitLeader(t, again.Group).Leader.IsValid())
 	until(t, "the emptied replica votes in place of the lost one", func() bool {
 		n := again.current()
--- a/internal/group/leadership.go
+++ b/internal/group/leadership.go
@@ -14,6 +14,9 @@
 	Term uint64
 	// Leader is the leader's address, the zero value while none is known.
 	Leader netip.AddrPort
+	// Waiting is set while the replica belongs to no cluster: it will hear of no
+	// leader soon.
+	Waiting bool
 }
 
 // Leadership returns who leads, and a channel that is closed when that changes.
@@ -21,15 +24,16 @@
 	select {
 	case <-g.started:
 	default:
-		return Leadership{}, g.started
+		return Leadership{Waiting: true}, g.started
 	}
 	n := g.current()
 	if n == nil {
 		return Leadership{}, nil // it could not start, and never will
 	}
 	soft, changed := n.Leader()
-	l := Leadership{Leading: soft.Role == quorum.Leader, Term: soft.Term}
-	if member, ok := n.Status().Membership.Find(soft.Leader); ok {
+	status := n.Status()
+	l := Leadership{Leading: soft.Role == quorum.Leader, Term: soft.Term, Waiting: len(status.Membership.Members) == 0}
+	if member, ok := status.Membership.Find(soft.Leader); ok {
 		// A member whose address does not parse cannot be reached.
 		l.Leader, _ = netip.ParseAddrPort(member.Address)
 	}
--- a/internal/role/agent/announce.go
+++ b/internal/role/agent/announce.go
@@ -13,6 +13,7 @@
 func (a *Agent) announce(ctx context.Context) {
 	sequence := a.sequence
 	announce.Run(ctx, announce.Options{
+		Name:    a.options.ID,
 		Control: subscribe.Fixed(a.options.Control...),
 		Pool:    a.pool,
 		Next: func() (view.Announcement, bool) {
--- a/internal/role/control/control.go
+++ b/internal/role/control/control.go
@@ -74,6 +74,8 @@
 	mu     sync.Mutex
 	term   *term // nil while another process leads
 	leader netip.AddrPort
+	// waiting is set while the process belongs to no control group yet.
+	waiting bool
 	// passing ends with the leader that streams are passed on to.
 	passing     context.Context
 	stopPassing context.CancelFunc
--- a/internal/role/control/lead.go
+++ b/internal/role/control/lead.go
@@ -34,6 +34,7 @@
 		return
 	}
 	defer c.notify()
+	c.waiting = l.Waiting
 	if c.term != nil {
 		c.options.Log.Info("Leads no longer.", zap.Uint64("term", c.term.epoch))
 		c.term.cancel()
@@ -68,21 +69,24 @@
 	term    *term
 	leader  netip.AddrPort
 	passing context.Context
+	// waiting is set where the process belongs to no control group yet.
+	waiting bool
 }
 
 // known reports whether anybody serves.
 func (s *server) known() bool { return s.term != nil || s.leader.IsValid() }
 
-// awaitServer returns who serves, as soon as a leader is known.
+// awaitServer returns who serves, as soon as a leader is known. A process that
+// belongs to no control group answers at once: daemons do better elsewhere.
 func (c *Control) awaitServer(ctx context.Context) (server, bool) {
 	ctx, cancel := context.WithTimeout(ctx, leaderWait)
 	defer cancel()
 	for {
 		c.mu.Lock()
-		s, changed := server{term: c.term, leader: c.leader, passing: c.passing}, c.changed
+		s, changed := server{term: c.term, leader: c.leader, passing: c.passing, waiting: c.waiting}, c.changed
 		c.mu.Unlock()
-		if s.known() {
-			return s, true
+		if s.known() || s.waiting {
+			return s, s.known()
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -98,7 +98,7 @@
 // announce renews the lease until ctx ends.
 func (a *Agent) announce(ctx context.Context) {
 	announce.Run(ctx, announce.Options{
-		Control: a.options.Control, Pool: a.pool, Retry: a.options.Retry,
+		Name: a.options.Name, Control: a.options.Control, Pool: a.pool, Retry: a.options.Retry,
 		Next: a.announcement, Changed: a.changed, Log: a.options.Log,
 	})
 }
--- a/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -91,9 +92,7 @@
 		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	for i := 0; ctx.Err() == nil; i++ {
-		order := relayOrder(o.Name, o.Control())
-		first := i % len(order)
-		order = append(order[first:], order[:first]...)
+		order := Order(o.Name, o.Control(), i)
 		addr, retryAfter, heard, err := s.follow(ctx, order)
 		if ctx.Err() != nil {
 			return
@@ -108,8 +107,9 @@
 	}
 }
 
-// relayOrder returns the order in which a daemon tries control processes.
-func relayOrder(name string, control []netip.AddrPort) []netip.AddrPort {
+// Order returns the order in which a daemon tries control processes. Daemons begin
+// with different ones, and each with the next one at its next turn.
+func Order(name string, control []netip.AddrPort, turn int) []netip.AddrPort {
 	byName := make(map[string]netip.AddrPort, len(control))
 	var names []string
 	for _, addr := range control {
@@ -120,7 +120,8 @@
 	for _, n := range spread.RelayOrder(name, names) {
 		order = append(order, byName[n])
 	}
-	return order
+	first := turn % len(order)
+	return slices.Concat(order[first:], order[:first])
 }
 
 func (s *subscription) now() time.Duration { return s.options.Now().Sub(s.started) }
