Let a replica go on when its disk has space again

Change: the group closes the store, opens it again every 500 ms and runs the replica with what it holds, under the same identity. It leads nothing meanwhile. A replica that has lost what it acknowledged stays ended.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"path/filepath"
 	"sync"
@@ -65,6 +64,8 @@
 	Pool *peer.Pool
 	Now  func() time.Time
 	Log  *zap.Logger
+
+	open func(folder string) (store, error) // tests inject faults here
 }
 
 // Group is the membership of this process in its control group. It is safe for
@@ -97,7 +98,10 @@
 
 // Open opens the store and starts the replica, once it belongs to a cluster.
 func Open(o Options) (*Group, error) {
-	s, err := openStore(o.Folder)
+	if o.open == nil {
+		o.open = openStore
+	}
+	s, err := o.open(o.Folder)
 	if err != nil {
 		return nil, err
 	}
@@ -124,6 +128,7 @@
 		_ = s.Close()
 		return nil, err
 	}
+	g.running.Go(func() { g.watch(ctx) })
 	g.running.Go(func() { g.keepMembers(ctx) })
 	if o.Seeds != nil {
 		g.running.Go(func() { g.joinCluster(ctx) })
@@ -131,6 +136,9 @@
 	return g, nil
 }
 
+// open opens the store in the folder.
+func (g *Group) open() (store, error) { return g.options.open(g.options.Folder) }
+
 func openStore(folder string) (store, error) {
 	if folder == "" {
 		m, err := disk.NewMemory()
@@ -151,10 +159,7 @@
 
 // start runs the replica with what the store holds.
 func (g *Group) start() error {
-	n, err := replica.Start(replica.Options{
-		Store: g.store, Machine: g.options.Machine, Transport: g.link,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Tick: g.options.Tick, Log: g.options.Log,
-	})
+	n, err := g.newReplica(g.store)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.node, g.failed = n, err
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -74,6 +74,8 @@
 	peers  []Peer
 	// joining has replicas that open ask the peers to be added.
 	joining bool
+	// openStore replaces the opening of stores, nil for the real one.
+	openStore func(folder string) (store, error)
 }
 
 func freeAddr(t *testing.T) netip.AddrPort {
@@ -120,7 +122,7 @@
 	options := Options{
 		Name: p.Name, Addr: p.Addr, Cluster: "control", Peers: b.peers, Folder: b.path(p),
 		Keep:    roster.Options{Voters: 3, AbsentAfter: time.Second},
-		Machine: out.state, Pool: out.pool, Now: time.Now, Log: zap.NewNop(),
+		Machine: out.state, Pool: out.pool, Now: time.Now, Log: zap.NewNop(), open: b.openStore,
 	}
 	if b.joining {
 		options.Peers, options.Seeds = nil, b.addrs
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -67,6 +67,10 @@
 	}
 }
 
+// Retire wakes those who wait for news of a replica that has ended, since another
+// run has taken its place.
+func (n *Node) Retire() { n.membersChanged() }
+
 // membersChanged wakes those who look for the leader's address: it stands in the
 // membership.
 func (n *Node) membersChanged() {
