--- a/internal/replica/doc.go
+++ b/internal/replica/doc.go
@@ -2,6 +2,6 @@
 // core/quorum from a transport, a durable store and a ticker, and applies
 // committed commands to a state machine.
 //
-// A store that fails stops the replica for good: it acknowledges nothing more,
+// A store that fails ends the replica: it acknowledges nothing more,
 // and Done is closed.
 package replica
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -172,7 +172,7 @@
 		}
 		n.drain()
 		if err := n.work(); err != nil {
-			n.log.Error("Replica stops for good.", zap.Error(err))
+			n.log.Error("Replica stops.", zap.Error(err))
 			n.end(err)
 			return
 		}
