Have on the disk what a store opens with

Cause: read while the pages were written: a process that ends between a write and its sync leaves a log that reads back whole from the kernel's memory. The next process counted those entries as durable and could acknowledge them before its first sync; after a failed sync even a later one may not write them. Change: a store syncs the log that it opens; after a failed write the same process writes everything anew.

--- a/internal/disk/files.go
+++ b/internal/disk/files.go
@@ -91,12 +91,12 @@
 	if s.log, err = s.files.Append(name); err != nil {
 		return Failed.Wrap(err, "file %q cannot be opened", name)
 	}
-	if c.size == int64(len(b)) {
-		return nil
-	}
-	if err := s.log.Truncate(c.size); err != nil {
-		return s.fail(err, "cut of file %q at offset %d", name, c.size)
+	if c.size < int64(len(b)) {
+		if err := s.log.Truncate(c.size); err != nil {
+			return s.fail(err, "cut of file %q at offset %d", name, c.size)
+		}
 	}
+	// The process before may have ended between a write and its sync.
 	if err := s.log.Sync(); err != nil {
 		return s.fail(err, "sync of file %q", name)
 	}
--- a/internal/disk/memfolder_test.go
+++ b/internal/disk/memfolder_test.go
@@ -10,7 +10,11 @@
 var errInjected = errors.New("injected")
 
 // inode is the content of a fake file and the part of it that was synced.
-type inode struct{ data, synced []byte }
+// After a failed sync the kernel may hold for clean what it has dropped.
+type inode struct {
+	data, synced []byte
+	dropped      bool
+}
 
 // memFolder is a folder that fails from its failAt-th operation on, and loses
 // on crash what was not synced.
@@ -111,8 +115,12 @@
 
 func (f *memFile) Sync() error {
 	if err := f.folder.operate(); err != nil {
+		f.inode.dropped = true
 		return err
 	}
+	if f.inode.dropped {
+		return nil
+	}
 	f.inode.synced = slices.Clone(f.inode.data)
 	return nil
 }
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -19,6 +19,10 @@
 	Folder string
 	// Random draws the identity of a new replica; nil is the system's source.
 	Random io.Reader
+	// Rewrite writes everything anew, for a folder in which a write has failed: what
+	// reads back after a failed sync may not be on the disk, and a later sync may
+	// not bring it there.
+	Rewrite bool
 
 	files folder // tests inject faults here
 }
@@ -62,7 +66,11 @@
 	if random == nil {
 		random = rand.Reader
 	}
-	if err := s.load(random); err != nil {
+	err := s.load(random)
+	if err == nil && o.Rewrite {
+		err = s.rewrite()
+	}
+	if err != nil {
 		_ = s.Close()
 		return nil, err
 	}
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -193,6 +193,51 @@
 	}
 }
 
+// unsynced returns a folder whose last save was written and not synced, and the
+// number of entries that read back.
+func unsynced(t *testing.T, syncFails bool) *memFolder {
+	t.Helper()
+	is := is.New(t)
+	d := newMemFolder()
+	s, err := openMem(d)
+	is.NoErr(err)
+	is.NoErr(s.Save(bootstrap()))
+	is.NoErr(s.Save(saveEntries(2, entry(2, 2))))
+	d.failAt, d.failOnce = d.operations+2, true // the sync
+	is.True(s.Save(saveEntries(2, entry(3, 2))) != nil)
+	if !syncFails { // the process ended before it asked for the sync
+		for _, i := range d.names {
+			i.dropped = false
+		}
+	}
+	return d
+}
+
+// What a replica starts with it answers for, so it must outlive the next crash.
+func TestWhatOpensIsOnTheDisk(t *testing.T) {
+	cases := []struct {
+		name      string
+		syncFails bool
+		rewrite   bool
+	}{
+		{"the process ended before its sync", false, false},
+		{"the sync failed, and the same process opens the store again", true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := unsynced(t, c.syncFails)
+			s, err := Open(Options{files: d, Random: bytes.NewReader(testRandom), Rewrite: c.rewrite})
+			is.NoErr(err)
+			before := digest(s)
+			is.Equal(len(s.State().Entries), 2)
+			s, err = openMem(d.crash(0))
+			is.NoErr(err)
+			is.Equal(digest(s), before)
+		})
+	}
+}
+
 // damagedLog returns a log of one header and three records, and where they end.
 func damagedLog(t testing.TB) (b []byte, ends []int) {
 	d := newMemFolder()
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -65,7 +65,7 @@
 	Now  func() time.Time
 	Log  *zap.Logger
 
-	open func(folder string) (store, error) // tests inject faults here
+	open func(disk.Options) (store, error) // tests inject faults here
 }
 
 // Group is the membership of this process in its control group. It is safe for
@@ -101,7 +101,7 @@
 	if o.open == nil {
 		o.open = openStore
 	}
-	s, err := o.open(o.Folder)
+	s, err := o.open(disk.Options{Folder: o.Folder})
 	if err != nil {
 		return nil, err
 	}
@@ -136,15 +136,12 @@
 	return g, nil
 }
 
-// open opens the store in the folder.
-func (g *Group) open() (store, error) { return g.options.open(g.options.Folder) }
-
-func openStore(folder string) (store, error) {
-	if folder == "" {
+func openStore(o disk.Options) (store, error) {
+	if o.Folder == "" {
 		m, err := disk.NewMemory()
 		return memory{m}, err
 	}
-	return disk.Open(disk.Options{Folder: folder})
+	return disk.Open(o)
 }
 
 // startAlone starts a replica that has a cluster or founds one of its own.
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -21,6 +21,7 @@
 	"fulmarmount.org/core/quorum"
 	"fulmarmount.org/core/roster"
 	"fulmarmount.org/fulmarmount/internal/admin"
+	"fulmarmount.org/fulmarmount/internal/disk"
 	"fulmarmount.org/fulmarmount/internal/keys"
 	"fulmarmount.org/fulmarmount/internal/peer"
 	"fulmarmount.org/fulmarmount/internal/replica"
@@ -75,7 +76,7 @@
 	// joining has replicas that open ask the peers to be added.
 	joining bool
 	// openStore replaces the opening of stores, nil for the real one.
-	openStore func(folder string) (store, error)
+	openStore func(disk.Options) (store, error)
 }
 
 func freeAddr(t *testing.T) netip.AddrPort {
--- a/internal/group/recover.go
+++ b/internal/group/recover.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/quorum"
+	"fulmarmount.org/fulmarmount/internal/disk"
 	"fulmarmount.org/fulmarmount/internal/pace"
 	"fulmarmount.org/fulmarmount/internal/replica"
 )
@@ -70,7 +71,7 @@
 }
 
 func (g *Group) tryReopen() error {
-	s, err := g.open()
+	s, err := g.options.open(disk.Options{Folder: g.options.Folder, Rewrite: true})
 	if err != nil {
 		return err
 	}
--- a/internal/group/recover_test.go
+++ b/internal/group/recover_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"fulmarmount.org/core/quorum"
+	"fulmarmount.org/fulmarmount/internal/disk"
 )
 
 // fullDisk is a store whose writes fail while the disk is full.
@@ -34,8 +35,8 @@
 	var all []*process
 	full := make([]atomic.Bool, len(b.peers))
 	for i, p := range b.peers {
-		b.openStore = func(folder string) (store, error) {
-			s, err := openStore(folder)
+		b.openStore = func(o disk.Options) (store, error) {
+			s, err := openStore(o)
 			return fullDisk{store: s, full: &full[i]}, err
 		}
 		all = append(all, b.open(p))
