--- a/core/steer/balancer.go
+++ b/core/steer/balancer.go
@@ -174,11 +174,10 @@
 	if !ok {
 		return Decision{Verdict: Reset, Reason: NoMember}
 	}
-	order := t.order(id.Key, service)
-	if s.Copy < lastCopy && b.loads.full(now, order) {
+	if s.Copy < lastCopy && b.loads.full(now, t.members[service]) {
 		return Decision{Verdict: Drop, Reason: Full}
 	}
-	m := b.loads.choose(now, firstTaking(order, choices), b.zone)
+	m := b.loads.choose(now, t.firstTaking(id.Key, service, choices), b.zone)
 	if m == nil {
 		return b.noMember(t, service)
 	}
@@ -199,17 +198,6 @@
 	return Decision{Verdict: Reset, Reason: NoMember}
 }
 
-// firstTaking returns the first n members that take new flows.
-func firstTaking(order []*member, n int) []*member {
-	out := order[:0]
-	for _, m := range order {
-		if m.takes && len(out) < n {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // search sends a segment to the member that is asked next. denied is the seed of
 // the member that has returned it, 0 for none.
 func (b *Balancer) search(now time.Duration, t *Table, s *Segment, id flow.ID, denied uint64) Decision {
--- a/core/steer/host.go
+++ b/core/steer/host.go
@@ -37,17 +37,6 @@
 	Informed bool
 }
 
-// HostVerdict is what a host does with a segment from a balancer.
-type HostVerdict uint8
-
-// The verdicts of a Host.
-const (
-	// Deliver hands the segment to the backend server with HostDecision.Token.
-	Deliver HostVerdict = iota
-	// SendBack returns the segment to the balancer.
-	SendBack
-)
-
 // Refusal tells why a host returns a segment.
 type Refusal uint8
 
@@ -69,7 +58,8 @@
 
 // HostDecision is what to do with one segment.
 type HostDecision struct {
-	Verdict HostVerdict
+	// Refusal is NoRefusal where the segment goes to the backend server; others
+	// return it to the balancer.
 	Refusal Refusal
 	// Token comes back with the segment if the backend server bounces it.
 	Token uint32
@@ -80,7 +70,7 @@
 // hostFlow is a flow that the backend server holds.
 type hostFlow struct {
 	seen     time.Duration
-	balancer netip.AddrPort // that brought the newest SYN
+	balancer netip.AddrPort // that brought the newest SYN, to be told when it is answered
 	running  bool
 	// asked is the sequence number after the newest bytes of the caller.
 	asked     uint32
@@ -208,27 +198,28 @@
 func (h *Host) Receive(now time.Duration, s *Segment, a Arrival) HostDecision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if refusal := h.refuses(now, s, a); refusal != NoRefusal {
-		return HostDecision{Verdict: SendBack, Refusal: refusal}
+	id := s.Tuple.ID()
+	f := h.flows[id]
+	if refusal := h.refuses(now, f, s, a); refusal != NoRefusal {
+		return HostDecision{Refusal: refusal}
 	}
-	f := h.flows[s.Tuple.ID()]
 	tell := f != nil && !a.Informed
 	h.note(now, f, s)
 	switch {
 	case s.Opens():
-		h.expect(now, s, a)
+		h.held(now, id).balancer = a.Balancer
 	case f == nil && len(h.probes) < maxProbes:
-		h.probes[s.Tuple.ID()] = a.Balancer
+		h.probes[id] = a.Balancer
 	}
-	return HostDecision{Verdict: Deliver, Token: h.remember(a), Tell: tell}
+	return HostDecision{Token: h.remember(a), Tell: tell}
 }
 
-// refuses returns why a segment is not delivered.
-func (h *Host) refuses(now time.Duration, s *Segment, a Arrival) Refusal {
+// refuses returns why a segment is not delivered. f is its flow, nil where the
+// flow is not known here.
+func (h *Host) refuses(now time.Duration, f *hostFlow, s *Segment, a Arrival) Refusal {
 	if s.Opens() {
 		return h.refusesNew(a, s)
 	}
-	f := h.flows[s.Tuple.ID()]
 	switch {
 	case f != nil && h.ended():
 		return Ended
@@ -255,15 +246,15 @@
 	return NoRefusal
 }
 
-// expect remembers who is to be told when the backend server takes the flow.
-func (h *Host) expect(now time.Duration, s *Segment, a Arrival) {
-	id := s.Tuple.ID()
+// held returns a flow of which a segment was just seen.
+func (h *Host) held(now time.Duration, id flow.ID) *hostFlow {
 	f := h.flows[id]
 	if f == nil {
 		f = &hostFlow{}
 		h.flows[id] = f
 	}
-	f.seen, f.balancer = now, a.Balancer
+	f.seen = now
+	return f
 }
 
 // note follows a flow by a segment of its caller.
@@ -319,8 +310,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.silence = 0
-	h.forget(s.Tuple.ID())
-	delete(h.probes, s.Tuple.ID())
+	id := s.Tuple.ID()
+	h.forget(id)
+	delete(h.probes, id)
 	p := h.pending[token%pendingSize]
 	return p.arrival, token != 0 && p.token == token
 }
@@ -345,12 +337,7 @@
 		h.forget(id)
 		return netip.AddrPort{}
 	}
-	f := h.flows[id]
-	if f == nil {
-		f = &hostFlow{}
-		h.flows[id] = f
-	}
-	f.seen = now
+	f := h.held(now, id)
 	if s.Length > 0 {
 		h.setRunning(f, false)
 	}
--- a/core/steer/host_test.go
+++ b/core/steer/host_test.go
@@ -61,8 +61,7 @@
 			is := is.New(t)
 			d := newHost(c.standing, true).Receive(testAge, c.segment, c.arrival)
 			is.Equal(d.Refusal, c.want)
-			is.Equal(d.Verdict == Deliver, c.want == NoRefusal)
-		})
+					})
 	}
 }
 
@@ -72,7 +71,7 @@
 	h.Receive(testAge, syn(1), arrival(5))
 	is.Equal(h.Sent(testAge, answer(1, SYN|ACK, 0)), arrival(5).Balancer)
 	h.SetStanding(Draining)
-	is.Equal(h.Receive(testAge, data(1), arrival(5)).Verdict, Deliver)
+	is.Equal(h.Receive(testAge, data(1), arrival(5)).Refusal, NoRefusal)
 }
 
 func TestUnknownFlows(t *testing.T) {
@@ -84,7 +83,7 @@
 		is := is.New(t)
 		h := newHost(Serving, false)
 		d := h.Receive(testAge, data(1), arrival(5))
-		is.Equal(d.Verdict, Deliver)
+		is.Equal(d.Refusal, NoRefusal)
 		// It holds the flow: the balancer is told once.
 		is.Equal(h.Sent(testAge, answer(1, ACK, 10)), arrival(5).Balancer)
 		is.Equal(h.Sent(testAge, answer(1, ACK, 10)), netip.AddrPort{})
--- a/core/steer/loads.go
+++ b/core/steer/loads.go
@@ -168,11 +168,12 @@
 
 // full reports whether every member that takes new flows has as many requests
 // waiting as it should.
-func (l *loads) full(now time.Duration, candidates []*member) bool {
+func (l *loads) full(now time.Duration, members []member) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	taking := false
-	for _, m := range candidates {
+	for i := range members {
+		m := &members[i]
 		if !m.takes {
 			continue
 		}
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -169,20 +169,57 @@
 // portionSeed keeps the choice of a service apart from that of a member.
 const portionSeed = 0x5851f42d4c957f2d
 
+// ranked is a member with its place in the order of a key.
+type ranked struct {
+	*member
+	hash uint64
+}
+
+func (t *Table) rank(key uint64, m *member) ranked {
+	return ranked{member: m, hash: placement.Mix(key, m.peer.Seed)}
+}
+
+// compare orders members by the place of a key: the highest hash is first.
+func (r ranked) compare(o ranked) int {
+	return cmp.Or(cmp.Compare(o.hash, r.hash), cmp.Compare(r.id, o.id))
+}
+
 // order returns the members of a service in the order in which key is looked
 // for. A member that joins or leaves moves no other.
 func (t *Table) order(key uint64, service view.ServiceID) []*member {
 	list := t.members[service]
-	out := make([]*member, len(list))
+	byHash := make([]ranked, len(list))
+	for i := range list {
+		byHash[i] = t.rank(key, &list[i])
+	}
+	slices.SortFunc(byHash, ranked.compare)
+	return membersOf(byHash)
+}
+
+// firstTaking returns the first n members in the order of key that take new flows.
+// It looks at each member once and sorts n of them.
+func (t *Table) firstTaking(key uint64, service view.ServiceID, n int) []*member {
+	list := t.members[service]
+	first := make([]ranked, 0, n+1)
 	for i := range list {
-		out[i] = &list[i]
-	}
-	slices.SortFunc(out, func(a, b *member) int {
-		return cmp.Or(
-			cmp.Compare(placement.Mix(key, b.peer.Seed), placement.Mix(key, a.peer.Seed)),
-			cmp.Compare(a.id, b.id),
-		)
-	})
+		if !list[i].takes {
+			continue
+		}
+		r := t.rank(key, &list[i])
+		at, _ := slices.BinarySearchFunc(first, r, ranked.compare)
+		if at < n {
+			first = slices.Insert(first, at, r)
+			first = first[:min(len(first), n)]
+		}
+	}
+	return membersOf(first)
+}
+
+func membersOf(byHash []ranked) []*member {
+	out := make([]*member, len(byHash))
+	for i := range byHash {
+		out[i] = byHash[i].member
+	}
 	return out
 }
 
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -22,6 +22,16 @@
 	return Open(Options{files: d, Random: bytes.NewReader(testRandom)})
 }
 
+// bootstrapped returns a folder with the store of a cluster that has just begun.
+func bootstrapped(is *is.I) (*memFolder, *Store) {
+	is.Helper()
+	d := newMemFolder()
+	s, err := openMem(d)
+	is.NoErr(err)
+	is.NoErr(s.Save(bootstrap()))
+	return d, s
+}
+
 func entry(index, term uint64) quorum.Entry {
 	return quorum.Entry{Index: index, Term: term, Kind: quorum.EntryCommand, Data: []byte(fmt.Sprint("command ", index))}
 }
@@ -175,13 +185,10 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			d := newMemFolder()
-			s, err := openMem(d)
-			is.NoErr(err)
-			is.NoErr(s.Save(bootstrap()))
+			d, s := bootstrapped(is)
 			is.NoErr(s.Save(saveEntries(2, entry(2, 2))))
 			d.failAt, d.failOnce = d.operations+c.failAt, true // it works again at once
-			err = s.Save(saveEntries(2, entry(3, 2)))
+			err := s.Save(saveEntries(2, entry(3, 2)))
 			is.True(errorx.IsOfType(err, Failed))
 			is.True(errorx.IsOfType(s.Save(saveEntries(2, entry(3, 2))), Failed)) // still
 			is.True(errorx.IsOfType(s.Compact(quorum.Snapshot{Index: 2}, 3), Failed))
@@ -198,10 +205,7 @@
 func unsynced(t *testing.T, syncFails bool) *memFolder {
 	t.Helper()
 	is := is.New(t)
-	d := newMemFolder()
-	s, err := openMem(d)
-	is.NoErr(err)
-	is.NoErr(s.Save(bootstrap()))
+	d, s := bootstrapped(is)
 	is.NoErr(s.Save(saveEntries(2, entry(2, 2))))
 	d.failAt, d.failOnce = d.operations+2, true // the sync
 	is.True(s.Save(saveEntries(2, entry(3, 2))) != nil)
@@ -316,12 +320,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			d := newMemFolder()
-			s, err := openMem(d)
-			is.NoErr(err)
-			is.NoErr(s.Save(bootstrap()))
+			d, _ := bootstrapped(is)
 			c.spoil(d)
-			_, err = openMem(d)
+			_, err := openMem(d)
 			is.True(errorx.IsOfType(err, c.want))
 		})
 	}
@@ -329,14 +330,11 @@
 
 func TestRecoverStartsANewCluster(t *testing.T) {
 	is := is.New(t)
-	d := newMemFolder()
-	s, err := openMem(d)
-	is.NoErr(err)
-	is.NoErr(s.Save(bootstrap()))
+	d, s := bootstrapped(is)
 	change := quorum.Entry{Index: 3, Term: 2, Kind: quorum.EntryChange, Change: &quorum.ConfChange{Op: quorum.AddLearner, Member: quorum.Member{ID: 8}}}
 	is.NoErr(s.Save(saveEntries(2, entry(2, 2), change)))
 	is.NoErr(s.Recover(99, quorum.Member{Name: "vm-1"}))
-	s, err = openMem(d)
+	s, err := openMem(d)
 	is.NoErr(err)
 	r, err := quorum.New(coreConfig(s))
 	is.NoErr(err)
--- a/internal/node/segments.go
+++ b/internal/node/segments.go
@@ -38,7 +38,12 @@
 // readiness is a role that tells when callers may be sent to it.
 type readiness interface{ Ready() bool }
 
-func (o Options) segmentOptions(name string) segment.Common {
+// segmentOptions returns the options that both roles of mode segment share. An
+// error of type errNoPlatform says that nothing here can read the packets.
+func (o Options) segmentOptions(name string) (segment.Common, error) {
+	if o.Platform == nil {
+		return segment.Common{}, errNoPlatform.New("section [segments] needs a platform's adapter")
+	}
 	s, join := o.Settings.Segments, o.Settings.Join
 	return segment.Common{
 		Name: o.Settings.Name, Zone: o.Settings.Zone, Control: o.Seeds.Get,
@@ -47,7 +52,7 @@
 		Packets: s.Packets, ReturnPort: s.Callers.Port(),
 		TLS: o.clientTLS(keys.Control), Keys: ring{Ring: o.Ring, now: o.Now}, Session: rand.Uint64(),
 		Codec: o.Platform.Codec(), Now: o.Now, Log: o.Log.Named(name),
-	}
+	}, nil
 }
 
 // errNoPlatform is the type for settings of mode segment in a program without an
@@ -55,21 +60,23 @@
 var errNoPlatform = namespace.NewType("no_platform")
 
 func startSegmentBalancer(o Options) (role, error) {
-	if o.Platform == nil {
-		return nil, errNoPlatform.New("section [segments] needs a platform's adapter")
+	common, err := o.segmentOptions("balancer")
+	if err != nil {
+		return nil, err
 	}
 	return segment.StartBalancer(segment.BalancerOptions{
-		Common: o.segmentOptions("balancer"), Callers: o.Settings.Segments.Callers, LeaveTime: o.Settings.Segments.LeaveTime,
+		Common: common, Callers: o.Settings.Segments.Callers, LeaveTime: o.Settings.Segments.LeaveTime,
 	})
 }
 
 func startSegmentAgent(o Options) (role, error) {
-	if o.Platform == nil {
-		return nil, errNoPlatform.New("section [segments] needs a platform's adapter")
+	common, err := o.segmentOptions("agent")
+	if err != nil {
+		return nil, err
 	}
 	s := o.Settings.Segments
 	return segment.StartAgent(segment.AgentOptions{
-		Common: o.segmentOptions("agent"), Service: s.Service, Backend: s.Backend, Outbound: s.Outbound,
+		Common: common, Service: s.Service, Backend: s.Backend, Outbound: s.Outbound,
 		Patience: s.Patience, IdleTimeout: s.IdleTimeout,
 	})
 }
--- a/internal/role/agent/succession.go
+++ b/internal/role/agent/succession.go
@@ -14,6 +14,7 @@
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/fulmarmount/internal/packet"
 	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/udp"
 )
 
 var (
@@ -48,8 +49,6 @@
 	Sessions    []packet.Session `cbor:"9,keyasint"`
 }
 
-// longAgo is a deadline that ends a read at once.
-var longAgo = time.Unix(1, 0)
 
 // savedSocket is the socket of one owned flow. The successor binds the same local
 // address, so the backend server sees no change.
@@ -156,7 +155,7 @@
 // are lost; callers send them again.
 func (a *Agent) bequeath() error {
 	a.cancel()
-	if err := a.envelopes.SetDeadline(longAgo); err != nil {
+	if err := a.envelopes.SetDeadline(udp.LongAgo); err != nil {
 		return errorx.DecorateMany("agent does not stop", err, a.Close())
 	}
 	a.envelopesRead.Wait()
--- a/internal/role/balancer/handover.go
+++ b/internal/role/balancer/handover.go
@@ -34,15 +34,13 @@
 // deadliner is a socket whose blocked reads or accepts can be ended.
 type deadliner interface{ SetDeadline(t time.Time) error }
 
-// longAgo is a deadline that ends a read at once.
-var longAgo = time.Unix(1, 0)
 
 // Pause implements handover.Predecessor. Datagrams and connections wait in the
 // kernel's queues; connections that are open go on.
 func (b *Balancer) Pause() (handover.Bundle, error) {
 	b.mu.Lock()
 	b.paused = true
-	b.setDeadlines(longAgo)
+	b.setDeadlines(udp.LongAgo)
 	b.mu.Unlock()
 	// A reader may want the lock for its last datagram.
 	b.readers.Wait()
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -43,8 +43,8 @@
 	options  AgentOptions
 	host     *steer.Host
 	outbound *udp.Conn
-	envelopes
-	counts    counters
+	*envelopes
+	counts    *counters
 	delivered atomic.Uint64
 	replied   atomic.Uint64
 	sentBack  atomic.Uint64
@@ -73,25 +73,17 @@
 // StartAgent opens the sockets and serves until Stop.
 func StartAgent(o AgentOptions) (*Agent, error) {
 	o.Retry = o.Retry.WithDefaults()
-	outbound, err := udp.Listen(udp.Options{Addr: o.Outbound, ReadBuffer: readBuffer})
+	counts := &counters{}
+	outbound, sockets, err := openSockets(o.Common, o.Outbound, counts)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: readBuffer})
-	if err != nil {
-		_ = outbound.Close()
-		return nil, err
-	}
 	a := &Agent{
-		options: o, outbound: outbound, started: o.Now(), pool: newPool(o.Common), asked: newTimes(),
+		options: o, outbound: outbound, envelopes: sockets, counts: counts, started: o.Now(), pool: newPool(o.Common), asked: newTimes(),
 		changed: make(chan struct{}, 1), balancers: newBalancers(),
 	}
 	a.host = steer.NewHost(0, steer.HostOptions{Patience: o.Patience, Idle: o.IdleTimeout})
 	a.ctx, a.cancel = context.WithCancel(context.Background())
-	a.envelopes = envelopes{
-		conn: conn, sealer: packet.NewSealer(o.Keys, o.Session), opener: packet.NewOpener(o.Keys, o.Now),
-		log: o.Log, counts: &a.counts,
-	}
 	if o.Service != "" {
 		a.subscribe(o.Service)
 	}
@@ -176,7 +168,7 @@
 		Hops: h.Flow.Hops, Informed: h.Flow.Informed,
 	}
 	decision := a.host.Receive(now, &segment.Segment, arrival)
-	if decision.Verdict == steer.SendBack {
+	if decision.Refusal != steer.NoRefusal {
 		a.sendBack(&segment.Segment, arrival, decision.Refusal, payload)
 		return
 	}
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -64,8 +64,8 @@
 	options BalancerOptions
 	steer   *steer.Balancer
 	callers *udp.Conn
-	envelopes
-	counts    counters
+	*envelopes
+	counts    *counters
 	decisions *decisions
 	placing   histogram.Histogram
 	pool      *peer.Pool
@@ -83,25 +83,17 @@
 
 // StartBalancer opens the sockets and follows control until Stop.
 func StartBalancer(o BalancerOptions) (*Balancer, error) {
-	callers, err := udp.Listen(udp.Options{Addr: o.Callers, ReadBuffer: readBuffer})
+	counts := &counters{}
+	callers, sockets, err := openSockets(o.Common, o.Callers, counts)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: readBuffer})
-	if err != nil {
-		_ = callers.Close()
-		return nil, err
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{
-		options: o, steer: steer.NewBalancer(o.Zone), callers: callers, started: o.Now(), cancel: cancel,
+		options: o, steer: steer.NewBalancer(o.Zone), callers: callers, envelopes: sockets, counts: counts, started: o.Now(), cancel: cancel,
 		pool: newPool(o.Common), decisions: newDecisions(), placed: newTimes(),
 		positions: make(map[view.ServiceID]view.Version), services: make(map[string]proto.Service),
 	}
-	b.envelopes = envelopes{
-		conn: conn, sealer: packet.NewSealer(o.Keys, o.Session), opener: packet.NewOpener(o.Keys, o.Now),
-		log: o.Log, counts: &b.counts,
-	}
 	b.tasks.Go(b.readCallers)
 	b.tasks.Go(func() { b.read(b.receive) })
 	b.tasks.Go(func() {
@@ -261,7 +253,7 @@
 		b.options.Log.Warn("Could not read a note.", zap.Stringer("from", h.ReplyTo), zap.Error(err))
 		return
 	}
-	b.counts.notes.Add(1)
+	b.decisions.notes.Add(1)
 	now := b.elapsed()
 	b.steer.Report(now, n.Service, n.Seed, n.Load)
 	if !n.Held {
@@ -293,7 +285,7 @@
 	b.send(d.To.Addr, &packet.Header{
 		Kind: packet.Forward, ReplyTo: b.conn.Addr(),
 		Flow: flow.Packet{
-			Service: d.Service, Ballot: flow.Ballot{Version: b.position(d.Service)}, Target: d.To.Incarnation,
+			Service: d.Service, Ballot: flow.Ballot{Version: b.position(d.Service)},
 			Tuple: s.Tuple, Hops: d.Hops, Informed: d.Informed,
 		},
 	}, payload)
--- a/internal/segment/dump.go
+++ b/internal/segment/dump.go
@@ -33,7 +33,7 @@
 func (b *Balancer) Counters() any {
 	return BalancerCounters{
 		Decisions: b.decisions.byName(), Returned: b.decisions.returned.Load(), Resets: b.decisions.resets.Load(),
-		Notes: b.counts.notes.Load(), Failed: b.counts.failed.Load(), Refused: b.counts.refused.Load(),
+		Notes: b.decisions.notes.Load(), Failed: b.counts.failed.Load(), Refused: b.counts.refused.Load(),
 		Garbled: b.counts.garbled.Load(), Flows: b.steer.Flows(), Placing: b.placing.Summary(),
 	}
 }
@@ -61,7 +61,7 @@
 	load := a.host.Load()
 	return AgentCounters{
 		Delivered: a.delivered.Load(), Replied: a.replied.Load(), Returned: a.sentBack.Load(), Bounced: a.bounced.Load(),
-		Reports: a.reports.Load(), Notes: a.counts.notes.Load(), Failed: a.counts.failed.Load(),
+		Reports: a.reports.Load(), Failed: a.counts.failed.Load(),
 		Refused: a.counts.refused.Load(), Garbled: a.counts.garbled.Load(),
 		Flows: load.Flows, Running: load.Running, Answering: a.answering.Summary(),
 	}
--- a/internal/segment/envelope.go
+++ b/internal/segment/envelope.go
@@ -41,6 +41,24 @@
 	buf []byte
 }
 
+// openSockets opens the socket to the one side, callers or a backend server, and
+// the one between balancers and agents.
+func openSockets(o Common, side netip.AddrPort, counts *counters) (*udp.Conn, *envelopes, error) {
+	outer, err := udp.Listen(udp.Options{Addr: side, ReadBuffer: readBuffer})
+	if err != nil {
+		return nil, nil, err
+	}
+	conn, err := udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: readBuffer})
+	if err != nil {
+		_ = outer.Close()
+		return nil, nil, err
+	}
+	return outer, &envelopes{
+		conn: conn, sealer: packet.NewSealer(o.Keys, o.Session), opener: packet.NewOpener(o.Keys, o.Now),
+		log: o.Log, counts: counts,
+	}, nil
+}
+
 // send seals and sends one envelope.
 func (e *envelopes) send(to netip.AddrPort, h *packet.Header, payload []byte) {
 	e.mu.Lock()
--- a/internal/segment/metrics.go
+++ b/internal/segment/metrics.go
@@ -12,7 +12,6 @@
 	failed  atomic.Uint64 // a socket did not take the packet
 	refused atomic.Uint64 // envelopes that do not open
 	garbled atomic.Uint64 // packets whose header cannot be read
-	notes   atomic.Uint64
 }
 
 // BalancerCounters are the counts of a balancer.
@@ -35,6 +34,7 @@
 	byReason []atomic.Uint64
 	returned atomic.Uint64
 	resets   atomic.Uint64
+	notes    atomic.Uint64
 }
 
 func newDecisions() *decisions {
@@ -58,7 +58,6 @@
 	Returned  uint64 `json:"returned"`
 	Bounced   uint64 `json:"bounced"`
 	Reports   uint64 `json:"reports"`
-	Notes     uint64 `json:"notes"`
 	Failed    uint64 `json:"failed"`
 	Refused   uint64 `json:"refused"`
 	Garbled   uint64 `json:"garbled"`
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -84,6 +84,9 @@
 // SyscallConn gives access to the socket's descriptor.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.conn.SyscallConn() }
 
+// LongAgo is a deadline that ends a read at once.
+var LongAgo = time.Unix(1, 0)
+
 // SetDeadline ends blocked reads at a time; the zero time removes the limit.
 func (c *Conn) SetDeadline(t time.Time) error { return c.conn.SetReadDeadline(t) }
 
