--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -22,11 +22,11 @@
 	r.electionTimeout = r.config.ElectionTicks + r.config.Rand.IntN(r.config.ElectionTicks)
 }
 
-// hurryElection shortens the timeout of a replica that starts or campaigns:
-// there may be nobody to wait for, and a leader that lives is heard at its next
-// heartbeat. A pre-vote disturbs no live leader.
+// hurryElection shortens the timeout of a replica that campaigns: a leader that
+// lives is heard at its next heartbeat, and a pre-vote does not disturb it. The
+// votes have the time of three heartbeats to arrive.
 func (r *Replica) hurryElection() {
-	first := 2 * r.config.HeartbeatTicks
+	first := 3 * r.config.HeartbeatTicks
 	r.electionTimeout = first + r.config.Rand.IntN(max(r.config.ElectionTicks-first, 1))
 }
 
@@ -78,10 +78,11 @@
 func (r *Replica) stepVote(m Message) {
 	granted := r.log.upToDate(m.Index, m.LogTerm)
 	if m.Type == MsgPreVote {
-		granted = granted && m.Term > r.term
+		granted = granted && m.Term > r.term && !r.precedes(m)
 		answer := Message{Type: MsgPreVoteResp, To: m.From, Reject: !granted}
 		if granted {
 			answer.Term = m.Term
+			r.giveWay(m)
 		}
 		r.send(answer)
 		return
@@ -94,6 +95,27 @@
 	r.send(Message{Type: MsgVoteResp, To: m.From, Reject: !granted})
 }
 
+// precedes reports whether this replica has just asked for votes itself and goes
+// before the sender of m, whose log is the same. Otherwise replicas that start
+// together would each vote for themselves.
+func (r *Replica) precedes(m Message) bool {
+	fresh := r.role == PreCandidate && r.electionElapsed == 0
+	return fresh && r.id > m.From && r.sameLog(m)
+}
+
+// giveWay ends a pre-vote of this replica in favour of the sender of m, which has
+// asked as well and goes before it.
+func (r *Replica) giveWay(m Message) {
+	if r.role == PreCandidate && (m.From > r.id || !r.sameLog(m)) {
+		r.role = Follower
+		r.votes = nil
+	}
+}
+
+func (r *Replica) sameLog(m Message) bool {
+	return m.Index == r.log.lastIndex() && m.LogTerm == r.log.lastTerm()
+}
+
 func (r *Replica) stepVoteResp(m Message) {
 	answersPreVote := m.Type == MsgPreVoteResp && r.role == PreCandidate && (m.Reject || m.Term == r.term+1)
 	answersVote := m.Type == MsgVoteResp && r.role == Candidate
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -118,7 +118,7 @@
 	r.config.Entries = nil
 	r.saved = r.hardState()
 	r.becomeFollower(r.term, 0)
-	r.hurryElection()
+	r.electionTimeout = 1 // there may be nobody to wait for
 	return r, nil
 }
 
--- a/core/quorum/start_test.go
+++ b/core/quorum/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -44,18 +45,21 @@
 	is.Equal(follower.leader, ReplicaID(3))
 }
 
-// elect lets two of three replicas run until one leads, and returns the ticks.
-func elect(t *testing.T, seed uint64) int {
+// elect lets replicas, of three, run until one leads, and returns the ticks.
+func elect(t *testing.T, seed uint64, ids ...ReplicaID) int {
 	t.Helper()
-	replicas := map[ReplicaID]*Replica{1: started(t, 1, seed), 2: started(t, 2, seed)}
+	replicas := make(map[ReplicaID]*Replica)
+	for _, id := range ids {
+		replicas[id] = started(t, id, seed)
+	}
 	for tick := 1; tick < 1000; tick++ {
-		for _, id := range []ReplicaID{1, 2} {
+		for _, id := range ids {
 			replicas[id].Tick()
 		}
 		// Messages of one tick cross each other.
 		for range 8 {
 			var sent []Message
-			for _, id := range []ReplicaID{1, 2} {
+			for _, id := range ids {
 				rd := replicas[id].Ready()
 				sent = append(append(sent, rd.EarlyMessages...), rd.Messages...)
 				replicas[id].Advance(rd)
@@ -66,8 +70,10 @@
 				}
 			}
 		}
-		if replicas[1].role == Leader || replicas[2].role == Leader {
-			return tick
+		for _, id := range ids {
+			if replicas[id].role == Leader {
+				return tick
+			}
 		}
 	}
 	t.Fatal("no leader")
@@ -77,6 +83,73 @@
 func TestSplitVotesAreFollowedByAnotherElectionSoon(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(300) {
-		is.True(elect(t, seed) <= 3*DefaultElectionTicks)
+		is.True(elect(t, seed, 1, 2) <= 3*DefaultElectionTicks)
+	}
+}
+
+// There is nobody to wait for after the loss of all processes, and replicas that
+// ask at the same time do not split the votes.
+func TestReplicasThatStartTogetherElectAtTheirFirstTick(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(300) {
+		is.Equal(elect(t, seed, 1, 2, 3), 1)
+		is.Equal(elect(t, seed, 1, 2), 1)
+		is.Equal(elect(t, seed, 2, 3), 1)
+	}
+}
+
+// A request that waited until its receiver was there crosses that one's own. Of two
+// that ask, one gives way.
+func TestCrossingPreVotesElectOneOfTwo(t *testing.T) {
+	is := is.New(t)
+	for _, ids := range [][2]ReplicaID{{1, 2}, {2, 1}} {
+		early, late := started(t, ids[0], 1), started(t, ids[1], 1)
+		early.Tick()
+		waiting := sentTo(early, late.id)
+		early.Tick() // its campaign is not fresh any more
+		late.Tick()
+		asks := sentTo(late, early.id)
+		exchange(t, late, early, waiting, asks)
+		is.True((early.role == Leader) != (late.role == Leader))
+	}
+}
+
+// sentTo returns what a replica has to send to another one.
+func sentTo(r *Replica, to ReplicaID) []Message {
+	rd := r.Ready()
+	r.Advance(rd)
+	return slices.DeleteFunc(slices.Concat(rd.EarlyMessages, rd.Messages), func(m Message) bool { return m.To != to })
+}
+
+// exchange delivers what two replicas have sent until neither has anything to say.
+func exchange(t *testing.T, a, b *Replica, toA, toB []Message) {
+	t.Helper()
+	for len(toA)+len(toB) > 0 {
+		for _, m := range toA {
+			_ = a.Step(m) // refused messages are part of elections
+		}
+		for _, m := range toB {
+			_ = b.Step(m)
+		}
+		toA, toB = sentTo(b, a.id), sentTo(a, b.id)
+	}
+}
+
+// A replica that asked for votes a while ago does not stand in the way of others:
+// it may be one that nobody's answers reach.
+func TestOnlyAFreshCampaignRefusesAnother(t *testing.T) {
+	is := is.New(t)
+	r := started(t, 3, 1)
+	r.Tick()
+	is.Equal(r.role, PreCandidate)
+	ask := func() bool {
+		is.NoErr(r.Step(Message{Type: MsgPreVote, From: 1, To: 3, Cluster: 1, Term: r.term + 1, Index: 1, LogTerm: 1}))
+		rd := r.Ready()
+		r.Advance(rd)
+		answers := slices.Concat(rd.EarlyMessages, rd.Messages)
+		return !answers[len(answers)-1].Reject
 	}
+	is.True(!ask())
+	r.Tick()
+	is.True(ask())
 }
--- a/internal/replicalink/link.go
+++ b/internal/replicalink/link.go
@@ -204,9 +204,7 @@
 		l.options.Log.Warn("Refused a replica without an address.", zap.String("peer", from.Name), zap.Error(err))
 		return
 	}
-	l.mu.Lock()
-	l.routes[hello.From.ID] = addr
-	l.mu.Unlock()
+	l.greeted(hello.From.ID, addr)
 	for {
 		messages, err := receive(s)
 		if err != nil {
@@ -219,6 +217,17 @@
 	}
 }
 
+// greeted notes the address of a replica that can be reached now.
+func (l *Link) greeted(id quorum.ReplicaID, addr netip.AddrPort) {
+	l.mu.Lock()
+	l.routes[id] = addr
+	s := l.senders[addr]
+	l.mu.Unlock()
+	if s != nil {
+		s.greeted()
+	}
+}
+
 // HandleIdentify serves a stream of kind Identify.
 func (l *Link) HandleIdentify(_ context.Context, from keys.Info, s *peer.Stream) {
 	if _, ok := l.greet(from, s); ok {
--- a/internal/replicalink/link_test.go
+++ b/internal/replicalink/link_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -108,6 +110,46 @@
 	b.link.Send(quorum.Member{ID: 99}, []quorum.Message{answer}) // no route; dropped
 }
 
+// A replica that opens a stream can be reached, whatever was tried before: the
+// clock stands still here, so no pause between attempts ever passes.
+func TestReplicaThatIsGreetedIsTriedAtOnce(t *testing.T) {
+	is := is.New(t)
+	set, err := keys.Ephemeral(time.Now())
+	is.NoErr(err)
+	a, b := newEnd(t, set, 1, keys.Control), newEnd(t, set, 2, keys.Control)
+	stopped := time.Now()
+	a.link.options.Now = func() time.Time { return stopped }
+	s := a.link.sender(b.addr)
+	out := &outgoing{failed: stopped, hello: s.nextHello()}
+	is.True(!s.open(out, stopped)) // an attempt failed just now
+
+	to := []quorum.Message{{Type: quorum.MsgPreVote, From: 2, To: 1}}
+	b.link.Send(quorum.Member{ID: 1, Address: a.addr.String()}, to)
+	is.Equal(a.receive(t), to)
+	is.True(s.open(out, stopped))
+	s.drop(out)
+}
+
+// An attempt that began before the replica was there is not waited for.
+func TestGreetingOvertakesAnAttempt(t *testing.T) {
+	is := is.New(t)
+	set, err := keys.Ephemeral(time.Now())
+	is.NoErr(err)
+	a := newEnd(t, set, 1, keys.Control)
+	silent, err := net.ListenPacket("udp4", "127.0.0.1:0") // takes packets and never answers
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	s := a.link.sender(netip.MustParseAddrPort(silent.LocalAddr().String()))
+	out := &outgoing{hello: s.nextHello()}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := s.attempt(out)
+		ended <- err
+	}()
+	a.link.greeted(2, s.addr)
+	is.True(strings.Contains((<-ended).Error(), context.Canceled.Error())) // not its time limit
+}
+
 func TestOtherRolesAreRefused(t *testing.T) {
 	is := is.New(t)
 	set, err := keys.Ephemeral(time.Now())
--- a/internal/replicalink/sender.go
+++ b/internal/replicalink/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,6 +19,10 @@
 	addr      netip.AddrPort
 	messages  chan []quorum.Message
 	snapshots chan []quorum.Message
+
+	mu sync.Mutex
+	// hello is closed when the replica at addr next opens a stream to this one.
+	hello chan struct{}
 }
 
 func newSender(l *Link, addr netip.AddrPort) *sender {
@@ -25,15 +30,32 @@
 		link: l, addr: addr,
 		messages:  make(chan []quorum.Message, queueBatches),
 		snapshots: make(chan []quorum.Message, 1),
+		hello:     make(chan struct{}),
 	}
 }
 
+// greeted notes that the replica has opened a stream to this one: it can be
+// reached now, and attempts that began before need not be waited for.
+func (s *sender) greeted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.hello)
+	s.hello = make(chan struct{})
+}
+
+func (s *sender) nextHello() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hello
+}
+
 // outgoing is the stream of one queue.
 type outgoing struct {
 	stream *peer.Stream
 	opened time.Time
-	failed time.Time // of the last attempt to open it, if it failed
-	fresh  bool      // the next stream is to use a new connection
+	failed time.Time       // of the last attempt to open it, if it failed
+	hello  <-chan struct{} // closed if the replica was greeted since that attempt
+	fresh  bool            // the next stream is to use a new connection
 }
 
 // run sends what queue holds until the link closes.
@@ -85,29 +107,60 @@
 	return b
 }
 
-// open opens the stream unless an attempt failed just now.
+// open opens the stream unless an attempt failed just now. An attempt that the
+// replica's own stream overtakes is made anew.
 func (s *sender) open(out *outgoing, now time.Time) bool {
-	if now.Sub(out.failed) < retryDelay {
+	if now.Sub(out.failed) < retryDelay && !isClosed(out.hello) {
+		return false
+	}
+	out.hello = s.nextHello()
+	stream, err := s.attempt(out)
+	if err != nil && isClosed(out.hello) {
+		out.hello = s.nextHello()
+		stream, err = s.attempt(out)
+	}
+	if err != nil {
+		s.link.options.Log.Debug("Cannot reach a replica.", zap.Stringer("replica", s.addr), zap.Error(err))
+		out.failed = s.link.options.Now()
 		return false
 	}
+	out.stream, out.opened, out.fresh = stream, s.link.options.Now(), false
+	return true
+}
+
+// attempt opens a stream until openTimeout has passed or the replica is greeted.
+func (s *sender) attempt(out *outgoing) (*peer.Stream, error) {
 	ctx, cancel := context.WithTimeout(s.link.ctx, openTimeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-out.hello:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	open := s.link.options.Pool.Open
 	if out.fresh {
 		open = s.link.options.Pool.OpenFresh
 	}
 	stream, err := open(ctx, s.addr, Messages)
-	if err == nil {
-		out.fresh = false
-		err = stream.Send(Hello{From: s.link.options.Self})
-	}
 	if err != nil {
-		s.link.options.Log.Debug("Cannot reach a replica.", zap.Stringer("replica", s.addr), zap.Error(err))
-		out.failed = s.link.options.Now()
+		return nil, err
+	}
+	if err := stream.Send(Hello{From: s.link.options.Self}); err != nil {
+		stream.Abort()
+		return nil, err
+	}
+	return stream, nil
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
 		return false
 	}
-	out.stream, out.opened = stream, s.link.options.Now()
-	return true
 }
 
 func (s *sender) drop(out *outgoing) {
