--- a/core/spread/source.go
+++ b/core/spread/source.go
@@ -18,7 +18,8 @@
 
 // SourceOptions configures a Source.
 type SourceOptions struct {
-	// BatchWindow is how long changes are gathered before they are sent.
+	// BatchWindow is the least time between two batches of changes. A change that
+	// follows none goes at the next Tick.
 	BatchWindow time.Duration
 	// ChunkBytes bounds the changes in one batch. Zero means 64 KiB.
 	ChunkBytes int
@@ -74,12 +75,12 @@
 	order []*subscriber // by arrival, so that runs can be reproduced
 	byKey map[string][]*subscriber
 
-	flushed     Position // the store's position at the last flush
-	windowSince time.Duration
-	windowOpen  bool
-	rebuilds    uint64
-	catchUps    int
-	shared      *Batch // the last one cut for subscribers of every key
+	flushed   Position // the store's position at the last flush
+	flushedAt time.Duration
+	hasFlush  bool
+	rebuilds  uint64
+	catchUps  int
+	shared    *Batch // the last one cut for subscribers of every key
 
 	confirmed   bool
 	confirmedAt time.Duration
@@ -128,12 +129,12 @@
 
 // Tick cuts a batch if the window has passed, repeats what was not
 // acknowledged and drops silent subscribers. Call it at least once per
-// BatchWindow.
+// BatchWindow, and where Due reports true.
 func (s *Source) Tick(now time.Duration) []Delivery {
 	s.dropSilent(now)
 	var out []Delivery
-	if s.windowPassed(now) {
-		s.markChanged()
+	if s.Due(now) {
+		s.markChanged(now)
 	}
 	for _, sub := range s.order {
 		sub.rewind(now, s.opts.ResendAfter)
@@ -142,22 +143,20 @@
 	return out
 }
 
-func (s *Source) windowPassed(now time.Duration) bool {
+// Due reports whether changes wait and the window after the last ones has passed.
+func (s *Source) Due(now time.Duration) bool {
 	if s.flushed == s.store.position || !s.store.whole() {
-		s.windowOpen = false
 		return false
 	}
-	if !s.windowOpen {
-		s.windowOpen, s.windowSince = true, now
-	}
-	return now-s.windowSince >= s.opts.BatchWindow
+	return !s.hasFlush || now-s.flushedAt >= s.opts.BatchWindow
 }
 
 // markChanged marks the subscribers for which something changed since the last
 // flush.
-func (s *Source) markChanged() {
+func (s *Source) markChanged(now time.Duration) {
 	from, rebuilds := s.flushed, s.rebuilds
-	s.flushed, s.rebuilds, s.windowOpen = s.store.position, s.store.rebuilds, false
+	s.flushed, s.rebuilds = s.store.position, s.store.rebuilds
+	s.hasFlush, s.flushedAt = true, now
 	every := from.Epoch != s.flushed.Epoch || rebuilds != s.rebuilds
 	for e := s.store.after(from.Number); e != nil && !every; e = e.next {
 		for _, sub := range s.byKey[e.item.Key] {
--- a/core/steer/balancer.go
+++ b/core/steer/balancer.go
@@ -177,7 +177,7 @@
 	if s.Copy < lastCopy && b.loads.full(now, t.members[service]) {
 		return Decision{Verdict: Drop, Reason: Full}
 	}
-	m := b.loads.choose(now, t.firstTaking(id.Key, service, choices), b.zone)
+	m := b.loads.choose(now, t.firstTaking(id.Key, service), b.zone)
 	if m == nil {
 		return b.noMember(t, service)
 	}
--- a/core/steer/host_test.go
+++ b/core/steer/host_test.go
@@ -61,7 +61,7 @@
 			is := is.New(t)
 			d := newHost(c.standing, true).Receive(testAge, c.segment, c.arrival)
 			is.Equal(d.Refusal, c.want)
-					})
+		})
 	}
 }
 
--- a/core/steer/surge_test.go
+++ b/core/steer/surge_test.go
@@ -160,7 +160,7 @@
 		placing := newBalancer(servers(1, surgeServers)...)
 		naive.report = func(now time.Duration, seed uint64, load Load) { placing.Report(now, desk, seed, load) }
 		naive.policy = func(now time.Duration, s *Segment) Decision {
-			first := placing.Table().firstTaking(s.Tuple.ID().Key, desk, choices)
+			first := placing.Table().firstTaking(s.Tuple.ID().Key, desk)
 			return Decision{To: placing.loads.choose(now, first, "a").peer}
 		}
 		naive.play()
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -196,20 +196,20 @@
 	return membersOf(byHash)
 }
 
-// firstTaking returns the first n members in the order of key that take new flows.
-// It looks at each member once and sorts n of them.
-func (t *Table) firstTaking(key uint64, service view.ServiceID, n int) []*member {
+// firstTaking returns the members that a new flow of key is weighed between: the
+// first of its order that take new flows. It looks at each member once.
+func (t *Table) firstTaking(key uint64, service view.ServiceID) []*member {
 	list := t.members[service]
-	first := make([]ranked, 0, n+1)
+	first := make([]ranked, 0, choices+1)
 	for i := range list {
 		if !list[i].takes {
 			continue
 		}
 		r := t.rank(key, &list[i])
 		at, _ := slices.BinarySearchFunc(first, r, ranked.compare)
-		if at < n {
+		if at < choices {
 			first = slices.Insert(first, at, r)
-			first = first[:min(len(first), n)]
+			first = first[:min(len(first), choices)]
 		}
 	}
 	return membersOf(first)
--- a/core/steer/table_test.go
+++ b/core/steer/table_test.go
@@ -24,7 +24,7 @@
 				want = append(want, m)
 			}
 		}
-		is.Equal(table.firstTaking(key, desk, choices), want)
+		is.Equal(table.firstTaking(key, desk), want)
 	}
-	is.Equal(len(table.firstTaking(1, hall, choices)), 0) // a service without members
+	is.Equal(len(table.firstTaking(1, hall)), 0) // a service without members
 }
--- a/internal/role/agent/succession.go
+++ b/internal/role/agent/succession.go
@@ -49,7 +49,6 @@
 	Sessions    []packet.Session `cbor:"9,keyasint"`
 }
 
-
 // savedSocket is the socket of one owned flow. The successor binds the same local
 // address, so the backend server sees no change.
 type savedSocket struct {
--- a/internal/role/balancer/handover.go
+++ b/internal/role/balancer/handover.go
@@ -34,7 +34,6 @@
 // deadliner is a socket whose blocked reads or accepts can be ended.
 type deadliner interface{ SetDeadline(t time.Time) error }
 
-
 // Pause implements handover.Predecessor. Datagrams and connections wait in the
 // kernel's queues; connections that are open go on.
 func (b *Balancer) Pause() (handover.Bundle, error) {
--- a/internal/subscribe/publisher.go
+++ b/internal/subscribe/publisher.go
@@ -26,8 +26,11 @@
 )
 
 const (
-	// batchWindow is how long changes are gathered before they are sent.
+	// batchWindow is the least time between two batches of changes.
 	batchWindow = 50 * time.Millisecond
+	// gatherTime is how long the first change of a batch waits for those that are
+	// made with it.
+	gatherTime = 2 * time.Millisecond
 	// confirmInterval is the time between confirmations by a majority.
 	confirmInterval = 200 * time.Millisecond
 	// maxSubscribers bounds the daemons of one process; others are sent away.
@@ -57,6 +60,8 @@
 	root   *spread.Root
 	queues map[spread.PeerID]chan spread.Down
 	peers  spread.PeerID
+	// changed asks for a batch before the next tick.
+	changed chan struct{}
 }
 
 // NewPublisher returns a Publisher without items.
@@ -74,6 +79,7 @@
 		started: o.Now(),
 		root:    root,
 		queues:  make(map[spread.PeerID]chan spread.Down),
+		changed: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -88,8 +94,20 @@
 	if err != nil {
 		return err
 	}
-	_, err = p.root.Publish(it)
-	return err
+	return p.publish(it)
+}
+
+// publish numbers an item and asks for a batch. The caller holds the lock.
+func (p *Publisher) publish(it spread.Item) error {
+	_, err := p.root.Publish(it)
+	if err != nil {
+		return err
+	}
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+	return nil
 }
 
 // Delete removes the item of a key, if there is one.
@@ -99,8 +117,7 @@
 	if _, ok := p.root.Store().Get(key); !ok {
 		return nil
 	}
-	_, err := p.root.Publish(spread.Item{Key: key, Version: p.root.Next(), Deleted: true})
-	return err
+	return p.publish(spread.Item{Key: key, Version: p.root.Next(), Deleted: true})
 }
 
 // Position returns the position of the newest change.
@@ -123,11 +140,38 @@
 	if p.options.Confirm != nil {
 		go p.confirm(ctx)
 	}
-	pace.Every(ctx, tickInterval, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.deliver(p.root.Tick(p.now()))
-	})
+	go p.hurry(ctx)
+	pace.Every(ctx, tickInterval, p.tick)
+}
+
+func (p *Publisher) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deliver(p.root.Tick(p.now()))
+}
+
+// hurry sends the first changes after a quiet time at once, until ctx ends. Others
+// wait for a tick.
+func (p *Publisher) hurry(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.changed:
+		}
+		if !pace.Sleep(ctx, gatherTime) {
+			return
+		}
+		if p.due() {
+			p.tick()
+		}
+	}
+}
+
+func (p *Publisher) due() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.root.Due(p.now())
 }
 
 // confirm has a majority confirm the publisher, over and over.
