--- a/core/steer/balancer.go
+++ b/core/steer/balancer.go
@@ -67,8 +67,6 @@
 	maxSearch = 32
 	// maxPlacements is the number of members that may turn a new flow away.
 	maxPlacements = 4
-	// lastCopy is the number of the last copy of a SYN that callers send.
-	lastCopy = 2
 )
 
 // Decision is what to do with one segment.
@@ -166,15 +164,17 @@
 }
 
 // place chooses the member of a new flow. While every member is full, a SYN is left
-// to its next copy, which comes within the caller's time: a reset would have the
-// caller use up its tries at once, and a place in a full queue would make those
-// late that could be answered in time. The last copy is placed in any case.
+// to its next copy or to the caller's next try: a reset would have the caller use up
+// its tries at once, and a place in a full queue would make those late that could be
+// answered in time. The load that this answers is that of callers who waited through
+// an outage and come at once, beside new ones: those who send a copy are late
+// already, and get what the first SYNs leave.
 func (b *Balancer) place(now time.Duration, t *Table, s *Segment, id flow.ID, hops uint8) Decision {
 	service, ok := choosePortion(id.Key, t.routes[s.Tuple.Service])
 	if !ok {
 		return Decision{Verdict: Reset, Reason: NoMember}
 	}
-	if s.Copy < lastCopy && b.loads.full(now, t.members[service]) {
+	if b.loads.full(now, t.members[service], s.Copy) {
 		return Decision{Verdict: Drop, Reason: Full}
 	}
 	m := b.loads.choose(now, t.firstTaking(id.Key, service), b.zone)
--- a/core/steer/loads.go
+++ b/core/steer/loads.go
@@ -36,8 +36,11 @@
 	// the zone is worth.
 	zoneGain = 150
 	// fullAt is the number of requests in tenths of a slot with which a member is
-	// full: those beyond the slots wait.
-	fullAt = 30
+	// full for a first SYN: those beyond the slots wait, for as long as a request
+	// takes or little more.
+	fullAt = 22
+	// copyFullAt is the same for the copies of a SYN: they get free slots alone.
+	copyFullAt = 10
 )
 
 // loads holds the newest report of each member and what was placed since.
@@ -166,9 +169,13 @@
 	return best
 }
 
-// full reports whether every member that takes new flows has as many requests
-// waiting as it should.
-func (l *loads) full(now time.Duration, members []member) bool {
+// full reports whether every member that takes new flows has as many requests as it
+// should for a SYN that is the copy of so many.
+func (l *loads) full(now time.Duration, members []member, copies uint32) bool {
+	limit := fullAt
+	if copies > 0 {
+		limit = copyFullAt
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	taking := false
@@ -179,7 +186,7 @@
 		}
 		taking = true
 		found := l.of(m)
-		if (int(found.newest(now).Running)+found.recent(now))*10 < int(m.slots)*fullAt {
+		if (int(found.newest(now).Running)+found.recent(now))*10 < int(m.slots)*limit {
 			return false
 		}
 	}
