--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -163,7 +163,7 @@
 	}
 }
 
-// TestAgentRestartKeepsSessions is known to fail; see KNOWN-RED.txt.
+// An agent that restarts goes on as the same run, with its flows.
 func TestAgentRestartKeepsSessions(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
