--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -93,7 +93,7 @@
 			"Exit code: 0 done, 1 failed or refused, 2 wrong usage, 3 conflict of versions.",
 		Flags: a.flags,
 		Subcommands: []*ff.Command{
-			a.checkCommand(),
+			a.checkCommand(), a.explainCommand(),
 			a.applyCommand(), a.patchCommand(), a.getCommand(), a.historyCommand(), a.diffCommand(), a.rollbackCommand(),
 			a.drainCommand(), a.statusCommand(), a.dumpCommand(), a.replicaCommand(),
 			a.keysCommand(),
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -50,6 +50,13 @@
 	return len(line), nil
 }
 
+// LeaveOut counts a line that is left out before it reaches the sink.
+func (s *Sink) LeaveOut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped++
+}
+
 // Sync writes what is queued.
 func (s *Sink) Sync() error {
 	s.writing.Lock()
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -23,6 +23,16 @@
 	return s.taken.Write(b)
 }
 
+func TestLinesThatAreLeftOutAreCounted(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	s := New(&out)
+	s.LeaveOut()
+	s.LeaveOut()
+	is.NoErr(s.Sync())
+	is.Equal(out.String(), "{\"level\":\"warn\",\"msg\":\"Dropped log lines.\",\"lines\":2}\n")
+}
+
 func TestStuckStreamHoldsNobodyUpAndLosesAreCounted(t *testing.T) {
 	is := is.New(t)
 	out := &stuck{release: make(chan struct{})}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -190,7 +190,13 @@
 	}
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), logsink.New(os.Stdout), parsed)
-	sampled := zapcore.NewSamplerWithOptions(logsink.PlainErrors(core), time.Second, maxSameLines, maxSameLines)
+	sink := logsink.New(os.Stdout)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), sink, parsed)
+	sampled := zapcore.NewSamplerWithOptions(logsink.PlainErrors(core), time.Second, maxSameLines, maxSameLines,
+		zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+			if d&zapcore.LogDropped != 0 {
+				sink.LeaveOut()
+			}
+		}))
 	return zap.New(sampled), nil
 }
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -186,6 +186,11 @@
 		return
 	}
 	a.delivered.Add(1)
+	if s.Opens() {
+		a.options.Log.Info("Handed over a new flow.",
+			zap.Stringer("caller", s.Tuple.Caller), zap.Stringer("address", s.Tuple.Service), zap.Uint32("seq", s.Seq),
+			zap.Uint32("copy", s.Copy), zap.Uint32("running", a.host.Load().Running))
+	}
 	if s.Length > 0 {
 		a.asked.put(now, s.Tuple.ID())
 	}
@@ -196,7 +201,7 @@
 	a.sentBack.Add(1)
 	a.options.Log.Info("Returned a segment.",
 		zap.Stringer("caller", s.Tuple.Caller), zap.Stringer("address", s.Tuple.Service), zap.Bool("opens", s.Opens()),
-		zap.Stringer("refusal", why), zap.Stringer("balancer", arrival.Balancer), zap.Uint8("hops", arrival.Hops))
+		zap.Uint32("seq", s.Seq), zap.Stringer("refusal", why), zap.Stringer("balancer", arrival.Balancer), zap.Uint8("hops", arrival.Hops))
 	a.send(arrival.Balancer, &packet.Header{
 		Kind: packet.Returned, ReplyTo: a.conn.Addr(),
 		Flow: flow.Packet{
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -307,7 +307,7 @@
 	}
 	b.options.Log.Info(decisionText[d.Verdict],
 		zap.Stringer("caller", s.Tuple.Caller), zap.Stringer("address", s.Tuple.Service),
-		zap.Bool("opens", s.Opens()), zap.Uint32("copy", s.Copy), zap.Stringer("reason", d.Reason),
+		zap.Bool("opens", s.Opens()), zap.Uint32("seq", s.Seq), zap.Uint32("copy", s.Copy), zap.Stringer("reason", d.Reason),
 		zap.Stringer("to", d.To.Addr), zap.Uint8("hops", d.Hops))
 }
 
