--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -295,13 +295,14 @@
 
 // Tick returns the views that have changed, in the order of their services.
 func (r *Registry) Tick(now time.Duration) []*view.View {
-	if r.collecting(now) {
+	collecting := r.collecting(now)
+	if collecting && !r.mostHeard() {
 		return nil
 	}
 	var out []*view.View
 	for _, id := range r.order {
 		s := r.services[id]
-		if !s.dirty && now < s.due || s.current != nil && now-s.published < r.options.PublishEvery && s.published > 0 {
+		if collecting && !s.authoritative() || !s.dirty && now < s.due || r.tooSoon(now, s) {
 			continue
 		}
 		if v := r.update(now, s); v != nil {
@@ -311,6 +312,15 @@
 	return out
 }
 
+// tooSoon reports whether a service's newest view is too young for another one. A
+// whole view follows a partial one at once.
+func (r *Registry) tooSoon(now time.Duration, s *service) bool {
+	if s.current == nil || s.published == 0 || s.current.Partial && !r.lacking(now) {
+		return false
+	}
+	return now-s.published < r.options.PublishEvery
+}
+
 // View returns the newest view of a service, or nil.
 func (r *Registry) View(id view.ServiceID) *view.View {
 	if s := r.services[id]; s != nil {
--- a/core/lease/seats.go
+++ b/core/lease/seats.go
@@ -97,6 +97,22 @@
 // allHeard reports whether every seat is known to have been heard.
 func (r *Registry) allHeard() bool { return r.seats != nil && len(r.seats.awaited) == 0 }
 
+// mostHeard reports whether at least three of four seats were heard.
+func (r *Registry) mostHeard() bool {
+	return r.seats != nil && 4*len(r.seats.awaited) <= len(r.seats.known)
+}
+
+// authoritative reports whether a service has members and all of them know their
+// flows, so that a view without others ends none.
+func (s *service) authoritative() bool {
+	for _, m := range s.members {
+		if !m.announcement.Authoritative {
+			return false
+		}
+	}
+	return len(s.members) > 0
+}
+
 // lacking reports whether views may lack members that exist.
 func (r *Registry) lacking(now time.Duration) bool {
 	return now < r.partial && !r.allHeard()
--- a/core/lease/seats_test.go
+++ b/core/lease/seats_test.go
@@ -104,3 +104,38 @@
 	authoritative(t, r, 10*time.Millisecond, 1)
 	is.Equal(len(r.Tick(10*time.Millisecond)), 1)
 }
+
+// After the loss of all processes callers wait: a service whose backend servers
+// know their flows is served by those that were heard, without the last ones.
+func TestViewsDoNotWaitForTheLastSeats(t *testing.T) {
+	const step = 10 * time.Millisecond
+	is := is.New(t)
+	r := newLeader(seat(1), seat(2), seat(3), seat(4))
+	authoritative(t, r, step, 1)
+	authoritative(t, r, step, 2)
+	is.Equal(len(r.Tick(step)), 0) // half of the seats
+	authoritative(t, r, 2*step, 3)
+	first := r.Tick(2 * step)
+	is.Equal(len(first), 1)
+	is.True(first[0].Partial)
+	is.Equal(len(first[0].Members), 3)
+	authoritative(t, r, 3*step, 4)
+	next := r.Tick(3 * step) // a whole view does not wait behind a partial one
+	is.Equal(len(next), 1)
+	is.True(!next[0].Partial)
+	is.Equal(len(next[0].Members), 4)
+}
+
+// Agents that place flows themselves need the members of the earlier epoch in the
+// first view.
+func TestViewsOfOtherServicesWaitForEverySeat(t *testing.T) {
+	is := is.New(t)
+	r := newLeader(seat(1), seat(2), seat(3), seat(4))
+	for n := 1; n <= 3; n++ {
+		is.NoErr(r.Announce(0, 1, view.Announcement{
+			ID: fmt.Sprint("host-", n), Incarnation: 1, Packets: seat(n), Healthy: true, Slots: 4, Sequence: 1,
+		}))
+	}
+	is.Equal(len(r.Tick(collect/2)), 0)
+	is.Equal(len(r.Tick(collect)), 1)
+}
