--- a/core/steer/balancer.go
+++ b/core/steer/balancer.go
@@ -225,6 +225,10 @@
 	return Decision{Verdict: Reset, Reason: NotHeld}
 }
 
+// Overdue returns the flows that are searched for and whose last question is not
+// answered in time. Steer goes on with the search, for a segment that is repeated.
+func (b *Balancer) Overdue(now time.Duration) []flow.ID { return b.searches.overdue(now) }
+
 // Return is how a segment came back from a member.
 type Return struct {
 	Service view.ServiceID
--- a/core/steer/balancer_test.go
+++ b/core/steer/balancer_test.go
@@ -291,3 +291,40 @@
 	}
 	is.True(counts[hall] > 150 && counts[hall] < 250)
 }
+
+// A member that is gone answers nothing, and the caller's next copy may go to
+// another balancer: a search goes on by itself.
+func TestSearchGoesOnWithoutTheCaller(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 3)...)
+	s := data(1)
+	first := b.Steer(testAge, s)
+	is.Equal(first.Reason, Searched)
+	is.Equal(len(b.Overdue(testAge+answerTime)), 0)
+	late := testAge + answerTime + 1
+	is.Equal(b.Overdue(late), []flow.ID{s.Tuple.ID()})
+	second := b.Steer(late, s)
+	is.Equal(second.Verdict, Forward)
+	is.True(second.To != first.To)
+	is.Equal(len(b.Overdue(late)), 0) // it awaits the second now
+
+	b.Held(late, s.Tuple.ID(), desk, second.To.Seed)
+	is.Equal(len(b.Overdue(late+time.Second)), 0)
+	is.Equal(b.Steer(late+time.Second, s).To, second.To) // it was found meanwhile
+}
+
+func TestSearchThatNobodyAnswersEndsWithoutAReset(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 3)...)
+	s := data(1)
+	b.Steer(testAge, s)
+	var last Decision
+	now := testAge
+	for range 3 {
+		now += answerTime + 1
+		is.Equal(len(b.Overdue(now)), 1)
+		last = b.Steer(now, s)
+	}
+	is.Equal(last, Decision{Verdict: Drop, Reason: Unanswered})
+	is.Equal(len(b.Overdue(now+time.Second)), 0)
+}
--- a/core/steer/searches.go
+++ b/core/steer/searches.go
@@ -94,6 +94,26 @@
 	return out
 }
 
+// overdue returns the flows whose awaited answers are late, and forgets searches
+// that nobody goes on with.
+func (s *searches) overdue(now time.Duration) []flow.ID {
+	var out []flow.ID
+	for i := range s.shards {
+		shard := &s.shards[i]
+		shard.mu.Lock()
+		for id, found := range shard.byFlow {
+			switch waited := now - found.at; {
+			case waited > searchTime:
+				delete(shard.byFlow, id)
+			case waited > answerTime:
+				out = append(out, id)
+			}
+		}
+		shard.mu.Unlock()
+	}
+	return out
+}
+
 // end forgets a search whose flow was found.
 func (s *searches) end(id flow.ID) {
 	shard := &s.shards[id.Key%ownerShards]
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -15,6 +15,7 @@
 	"fulmarmount.org/core/steer"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/fulmarmount/internal/histogram"
+	"fulmarmount.org/fulmarmount/internal/pace"
 	"fulmarmount.org/fulmarmount/internal/packet"
 	"fulmarmount.org/fulmarmount/internal/peer"
 	"fulmarmount.org/fulmarmount/internal/proto"
@@ -75,6 +76,7 @@
 	leaving   atomic.Bool
 	// placed holds when flows were first sent to a member.
 	placed times
+	kept   kept
 
 	mu        sync.RWMutex
 	positions map[view.ServiceID]view.Version
@@ -91,10 +93,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{
 		options: o, steer: steer.NewBalancer(o.Zone), callers: callers, envelopes: sockets, counts: counts, started: o.Now(), cancel: cancel,
-		pool: newPool(o.Common), decisions: newDecisions(), placed: newTimes(),
+		pool: newPool(o.Common), decisions: newDecisions(), placed: newTimes(), kept: newKept(),
 		positions: make(map[view.ServiceID]view.Version), services: make(map[string]proto.Service),
 	}
 	b.tasks.Go(b.readCallers)
+	b.tasks.Go(func() { pace.Every(ctx, searchInterval, b.resume) })
 	b.tasks.Go(func() { b.read(b.receive) })
 	b.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
@@ -220,6 +223,25 @@
 	}
 }
 
+// resume sends the packets on whose last question nobody has answered.
+func (b *Balancer) resume() {
+	now := b.elapsed()
+	b.kept.sweep(now)
+	for _, id := range b.steer.Overdue(now) {
+		packet := b.kept.get(id)
+		if packet == nil {
+			continue
+		}
+		h, err := b.options.Codec.Decode(packet, FromCaller)
+		if err != nil {
+			b.options.Log.Error("Kept a packet that cannot be read.", zap.Error(err))
+			b.kept.drop(id)
+			continue
+		}
+		b.carryOut(now, &h.Segment, b.steer.Steer(now, &h.Segment), packet)
+	}
+}
+
 // receive takes the envelopes of agents.
 func (b *Balancer) receive(h *packet.Header, payload []byte) {
 	switch h.Kind {
@@ -261,6 +283,7 @@
 	}
 	id := h.Flow.Tuple.ID()
 	b.steer.Held(now, id, n.Service, n.Seed)
+	b.kept.drop(id)
 	if at, ok := b.placed.take(id); ok {
 		b.placing.Add(now - at)
 	}
@@ -271,13 +294,19 @@
 	b.decisions.byReason[d.Reason].Add(1)
 	switch d.Verdict {
 	case steer.Forward:
-		if d.Reason == steer.Placed && s.Copy == 0 {
+		switch {
+		case d.Reason == steer.Placed && s.Copy == 0:
 			b.placed.put(now, s.Tuple.ID())
+		case d.Reason == steer.Searched:
+			b.kept.put(now, s.Tuple.ID(), payload)
 		}
 		b.forward(s, d, payload)
 	case steer.Reset:
 		b.reset(s)
 	}
+	if d.Verdict != steer.Forward {
+		b.kept.drop(s.Tuple.ID())
+	}
 	b.logDecision(s, d)
 }
 
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -262,6 +262,25 @@
 	return &caller{f: f, addr: addr, conn: conn}
 }
 
+// once sends a packet a single time and returns what its answer carries.
+func (c *caller) once(port int, data string) string {
+	c.f.t.Helper()
+	tuple := flow.Tuple{Caller: netip.AddrPortFrom(c.addr, uint16(port)), Service: c.f.address}
+	_, _ = c.conn.WriteToUDPAddrPort(encode(tuple, steer.ACK, data), c.f.callers)
+	_ = c.conn.SetReadDeadline(time.Now().Add(patience))
+	buf := make([]byte, 2048)
+	for {
+		n, err := c.conn.Read(buf)
+		if err != nil {
+			c.f.t.Fatalf("flow %d: no answer to a packet that was sent once: %v", port, err)
+		}
+		h, err := codec{}.Decode(buf[:n], segment.FromBackend)
+		if err == nil && h.Tuple == tuple {
+			return string(buf[testHeader:n])
+		}
+	}
+}
+
 // exchange sends a packet until it is answered.
 func (c *caller) exchange(port int, flags steer.Flags, data string) (steer.Flags, string) {
 	c.f.t.Helper()
@@ -375,3 +394,28 @@
 	flags, _ := c.exchange(1000, steer.ACK, "who")
 	is.Equal(flags, steer.RST)
 }
+
+// An agent that is gone leaves questions unanswered. The flows of others are found
+// without waiting for their callers to send again.
+func TestFlowsAreFoundBesideAnAgentThatIsGone(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	staying, agent := f.startHost("host-1")
+	is.NoErr(agent.Heard(staying.report(1)))
+	first := f.startBalancer(1)
+	c := f.newCaller()
+	const flows = 20
+	for port := 1000; port < 1000+flows; port++ {
+		flags, _ := c.exchange(port, steer.SYN, "")
+		is.Equal(flags, steer.SYN|steer.ACK)
+		c.exchange(port, steer.ACK, "who")
+	}
+	gone, other := f.startHost("host-2")
+	is.NoErr(other.Heard(gone.report(1)))
+	is.NoErr(first.Stop(context.Background()))
+	f.startBalancer(2)
+	is.NoErr(other.Stop(context.Background()))
+	for port := 1000; port < 1000+flows; port++ {
+		is.Equal(c.once(port, "who"), staying.name)
+	}
+}
