--- a/core/steer/balancer_test.go
+++ b/core/steer/balancer_test.go
@@ -328,3 +328,17 @@
 	is.Equal(last, Decision{Verdict: Drop, Reason: Unanswered})
 	is.Equal(len(b.Overdue(now+time.Second)), 0)
 }
+
+// Members whose leases have ended may hold flows, but hardly answer.
+func TestMembersThatAreGoneAreAskedLast(t *testing.T) {
+	is := is.New(t)
+	members := servers(1, 4)
+	members[1].State = view.Gone
+	b := newBalancer(members...)
+	gone := view.SeedOf(members[1].ID)
+	for n := range 50 {
+		is.True(b.Steer(testAge, data(n)).To.Seed != gone)
+	}
+	asked, _ := returnAll(b, data(100))
+	is.Equal(len(asked), 4) // it is asked all the same
+}
--- a/core/steer/loads.go
+++ b/core/steer/loads.go
@@ -106,13 +106,13 @@
 	}
 }
 
-// silentLast moves members that are silent or have left behind the others.
+// silentLast moves members that are silent, gone or have left behind the others.
 func (l *loads) silentLast(holders []*member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	rank := func(m *member) int {
 		found := l.byID[loadKey{m.service, m.peer.Seed}]
-		if m.left > 0 || found != nil && found.silent {
+		if m.gone || m.left > 0 || found != nil && found.silent {
 			return 1
 		}
 		return 0
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -31,6 +31,8 @@
 	weight  uint32
 	slots   uint16
 	takes   bool
+	// gone is set where the member's lease has ended.
+	gone bool
 	// left is when the member was last in its view; zero while it is.
 	left time.Duration
 }
@@ -77,7 +79,7 @@
 		}
 		list = append(list, member{
 			peer: flow.PeerOf(v, i), service: v.Service, id: b.ID, zone: b.Zone,
-			weight: b.Weight, slots: max(b.Slots, 1), takes: b.TakesNew(),
+			weight: b.Weight, slots: max(b.Slots, 1), takes: b.TakesNew(), gone: b.State == view.Gone,
 		})
 	}
 	for id, members := range t.members {
