--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -75,7 +75,9 @@
 		return Line{}, false
 	}
 	line := Line{VM: vm}
-	if err := json.Unmarshal([]byte(text[len(before):]), &line.Fields); err != nil {
+	decoder := json.NewDecoder(strings.NewReader(text[len(before):]))
+	decoder.UseNumber() // sequence numbers are shown as they were written
+	if err := decoder.Decode(&line.Fields); err != nil {
 		return Line{}, false
 	}
 	if words := strings.Fields(before); len(words) > 0 {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -11,7 +11,7 @@
 const (
 	balancerLog = `  -9.9 frontend-1 quic: a line of a library
   1.0010 frontend-1 {"level":"info","ts":"2026-03-01T01:00:00.000Z","logger":"balancer","msg":"Adopted a view.","service":1,"members":2}
-  1.2010 frontend-1 {"level":"info","ts":"2026-03-01T01:00:04.200Z","logger":"balancer","msg":"Sent a segment to a member.","caller":"100.64.0.7:1001","address":"198.18.0.1:443","opens":true,"seq":17,"reason":"placed"}
+  1.2010 frontend-1 {"level":"info","ts":"2026-03-01T01:00:04.200Z","logger":"balancer","msg":"Sent a segment to a member.","caller":"100.64.0.7:1001","address":"198.18.0.1:443","opens":true,"seq":2251585001,"reason":"placed"}
   1.2011 frontend-1 {"level":"info","ts":"2026-03-01T01:00:04.300Z","logger":"balancer","msg":"Sent a segment to a member.","caller":"100.64.0.7:10011","address":"198.18.0.1:443","opens":true,"seq":18,"reason":"placed"}
   1.3010 frontend-1 {"level":"info","ts":"2026-03-01T01:00:05.000Z","logger":"balancer","msg":"Adopted a view.","service":1,"members":1}
   1.4010 frontend-1 {"level":"info","ts":"2026-03-01T01:00:06.000Z","logger":"balancer","msg":"Reset a flow.","caller":"100.64.0.7:1001","address":"198.18.0.1:443","opens":false,"seq":99,"reason":"host_ended"}
@@ -55,6 +55,7 @@
 		"frontend-1 Adopted a view.",
 		"frontend-1 Reset a flow.",
 	})
+	is.True(strings.Contains(Select(lines, q)[0].String(), " seq=2251585001"))
 	q.Around = 10 * time.Second
 	is.Equal(len(Select(lines, q)), 6) // the first view too
 	q.Caller = "100.64.0.7"
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -334,10 +334,14 @@
 	if d.Reason == steer.Remembered {
 		return
 	}
+	to := zap.Skip()
+	if d.Verdict == steer.Forward {
+		to = zap.Stringer("to", d.To.Addr)
+	}
 	b.options.Log.Info(decisionText[d.Verdict],
 		zap.Stringer("caller", s.Tuple.Caller), zap.Stringer("address", s.Tuple.Service),
 		zap.Bool("opens", s.Opens()), zap.Uint32("seq", s.Seq), zap.Uint32("copy", s.Copy), zap.Stringer("reason", d.Reason),
-		zap.Stringer("to", d.To.Addr), zap.Uint8("hops", d.Hops))
+		to, zap.Uint8("hops", d.Hops))
 }
 
 var decisionText = map[steer.Verdict]string{
