--- a/core/lease/seats_test.go
+++ b/core/lease/seats_test.go
@@ -139,3 +139,13 @@
 	is.Equal(len(r.Tick(collect/2)), 0)
 	is.Equal(len(r.Tick(collect)), 1)
 }
+
+// An agent that has not announced itself to a new leader yet may hold flows.
+func TestSeatsThatWereNotHeardYetAreKept(t *testing.T) {
+	is := is.New(t)
+	r := newLeader(seat(1), seat(2))
+	authoritative(t, r, 0, 1)
+	is.Equal(len(r.Vacant(collect)), 0)
+	authoritative(t, r, 4*time.Second, 1)
+	is.Equal(r.Vacant(4*time.Second), []netip.AddrPort{seat(2)}) // two lease times have passed
+}
--- a/core/quorum/start_test.go
+++ b/core/quorum/start_test.go
@@ -135,6 +135,17 @@
 	}
 }
 
+// A replica gives its vote to a longer log, whatever its own campaign.
+func TestLongerLogsGoFirst(t *testing.T) {
+	is := is.New(t)
+	r := started(t, 3, 1)
+	r.Tick()
+	is.NoErr(r.Step(Message{Type: MsgPreVote, From: 1, To: 3, Cluster: 1, Term: r.term + 1, Index: 2, LogTerm: 1}))
+	answers := sentTo(r, 1)
+	is.True(!answers[len(answers)-1].Reject)
+	is.Equal(r.role, Follower)
+}
+
 // A replica that asked for votes a while ago does not stand in the way of others:
 // it may be one that nobody's answers reach.
 func TestOnlyAFreshCampaignRefusesAnother(t *testing.T) {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -79,6 +79,12 @@
 			nil,
 			[]step{{quorum.Promote, 2}, {quorum.Promote, 3}},
 		},
+		{
+			"a spare that is missed takes nobody's place",
+			append([]quorum.Member{member(4, "d", true)}, three...),
+			[]quorum.ReplicaID{3, 4},
+			[]step{{quorum.RemoveMember, 4}},
+		},
 		{
 			"a spare that never comes back is forgotten",
 			append([]quorum.Member{member(4, "d", true)}, three...),
--- a/internal/disk/memfolder_test.go
+++ b/internal/disk/memfolder_test.go
@@ -38,10 +38,18 @@
 }
 
 // crash returns the folder as the next start finds it: of unsynced data the
-// first tail bytes arrived.
-func (d *memFolder) crash(tail int) *memFolder {
+// first tail bytes arrived, of unsynced names none but those in kept. Each name that
+// was created, renamed or removed is kept or lost by itself.
+func (d *memFolder) crash(tail int, keptNames ...string) *memFolder {
+	found := maps.Clone(d.durable)
+	for _, name := range keptNames {
+		delete(found, name)
+		if i, there := d.names[name]; there {
+			found[name] = i
+		}
+	}
 	next := newMemFolder()
-	for name, i := range d.durable {
+	for name, i := range found {
 		kept := slices.Clone(i.synced)
 		if len(i.data) > len(kept) {
 			kept = append(kept, i.data[len(kept):min(len(i.data), len(kept)+tail)]...)
@@ -52,6 +60,34 @@
 	return next
 }
 
+// unsynced returns the names that a crash may keep or lose.
+func (d *memFolder) unsynced() []string {
+	var out []string
+	for name, i := range d.names {
+		if d.durable[name] != i {
+			out = append(out, name)
+		}
+	}
+	for name := range d.durable {
+		if _, there := d.names[name]; !there {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// subsets returns every choice of names.
+func subsets(names []string) [][]string {
+	all := [][]string{nil}
+	for _, name := range names {
+		for _, chosen := range all {
+			all = append(all, append(slices.Clone(chosen), name))
+		}
+	}
+	return all
+}
+
 func (d *memFolder) List() ([]string, error) {
 	return slices.Sorted(maps.Keys(d.names)), d.operate()
 }
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -101,8 +101,9 @@
 }
 
 // TestEveryCrash lets each operation of the script be the last one before a
-// crash, with some of the unsynced bytes on disk. What was acknowledged must
-// be there, and the step that was cut short must lead to the same state again.
+// crash, with some of the unsynced bytes and each choice of the unsynced names on
+// disk. What was acknowledged must be there, and the step that was cut short must
+// lead to the same state again.
 func TestEveryCrash(t *testing.T) {
 	clean, err := live(newMemFolder())
 	if err != nil {
@@ -116,7 +117,10 @@
 			if err == nil {
 				break // no operation left to fail
 			}
-			checkRestart(t, d.crash(tail), clean, acknowledged, fmt.Sprintf("operation %d, %d bytes", failAt, tail))
+			for _, kept := range subsets(d.unsynced()) {
+				where := fmt.Sprintf("operation %d, %d bytes, names %q", failAt, tail, kept)
+				checkRestart(t, d.crash(tail, kept...), clean, acknowledged, where)
+			}
 		}
 	}
 }
@@ -152,7 +156,7 @@
 	return moments, nil
 }
 
-func checkRestart(t *testing.T, d folder, clean, acknowledged []moment, where string) {
+func checkRestart(t *testing.T, d *memFolder, clean, acknowledged []moment, where string) {
 	t.Helper()
 	s, err := openMem(d)
 	if err != nil {
@@ -175,6 +179,43 @@
 	if got := digest(s); got != clean[n].digest {
 		t.Fatalf("%s: found %q, without a crash %q", where, got, clean[n].digest)
 	}
+	again, err := openMem(d.crash(0))
+	if err != nil {
+		t.Fatalf("%s, second restart: %v", where, err)
+	}
+	if got := digest(again); got != clean[n].digest {
+		t.Fatalf("%s, second restart: found %q, without a crash %q", where, got, clean[n].digest)
+	}
+}
+
+// The log of a replica that got a snapshot goes on behind the snapshot, wherever
+// the crash came between the two.
+func TestLogGoesOnBehindASnapshotThatItDoesNotReach(t *testing.T) {
+	is := is.New(t)
+	cut := 0
+	for failAt := 1; ; failAt++ {
+		d, s := bootstrapped(is)
+		is.NoErr(s.Save(saveEntries(2, entry(2, 2))))
+		d.failAt = d.operations + failAt
+		rd := saveEntries(2)
+		rd.HardState.Commit = 20
+		rd.Snapshot = &quorum.Snapshot{Index: 20, Term: 2, Data: []byte("leader's")}
+		if s.Save(rd) == nil {
+			break // no operation left to fail
+		}
+		next := d.crash(0, d.unsynced()...)
+		s, err := openMem(next)
+		is.NoErr(err)
+		if s.State().Snapshot.Index != 20 {
+			continue
+		}
+		cut++
+		is.NoErr(s.Save(saveEntries(2, entry(21, 2))))
+		s, err = openMem(next.crash(0))
+		is.NoErr(err)
+		is.Equal(len(s.State().Entries), 1)
+	}
+	is.True(cut > 0)
 }
 
 func TestFailStop(t *testing.T) {
