--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -293,12 +293,17 @@
 	r.order = slices.Delete(r.order, i, i+1)
 }
 
+// Collected reports whether enough was heard for the first views of the epoch.
+func (r *Registry) Collected(now time.Duration) bool {
+	return r.leading && (!r.collecting(now) || r.mostHeard())
+}
+
 // Tick returns the views that have changed, in the order of their services.
 func (r *Registry) Tick(now time.Duration) []*view.View {
-	collecting := r.collecting(now)
-	if collecting && !r.mostHeard() {
+	if !r.Collected(now) {
 		return nil
 	}
+	collecting := r.collecting(now)
 	var out []*view.View
 	for _, id := range r.order {
 		s := r.services[id]
--- a/core/lease/seats_test.go
+++ b/core/lease/seats_test.go
@@ -114,7 +114,9 @@
 	authoritative(t, r, step, 1)
 	authoritative(t, r, step, 2)
 	is.Equal(len(r.Tick(step)), 0) // half of the seats
+	is.True(!r.Collected(step))
 	authoritative(t, r, 2*step, 3)
+	is.True(r.Collected(2 * step))
 	first := r.Tick(2 * step)
 	is.Equal(len(first), 1)
 	is.True(first[0].Partial)
--- a/core/steer/host.go
+++ b/core/steer/host.go
@@ -31,6 +31,8 @@
 	// Position is the version of the service's configuration that the balancer
 	// has decided by.
 	Position view.Version
+	// Run is the run of the backend server that the balancer has chosen.
+	Run view.Incarnation
 	// Balancer is where a return goes.
 	Balancer netip.AddrPort
 	Hops     uint8
@@ -94,8 +96,11 @@
 // Host decides about the segments of one backend server. It is safe for
 // concurrent use.
 type Host struct {
-	mu       sync.Mutex
-	service  view.ServiceID
+	mu      sync.Mutex
+	run     view.Incarnation
+	service view.ServiceID
+	// untold is set while the service's configuration is not known yet.
+	untold   bool
 	routed   map[netip.AddrPort]bool
 	position view.Version
 	standing Standing
@@ -134,28 +139,38 @@
 // NewHost returns a Host that was started at now.
 func NewHost(now time.Duration, o HostOptions) *Host {
 	return &Host{
-		patience: o.Patience, idle: o.Idle, started: now, ticked: now,
+		patience: o.Patience, idle: o.Idle, started: now, ticked: now, untold: true,
 		flows: make(map[flow.ID]*hostFlow), probes: make(map[flow.ID]netip.AddrPort), routed: make(map[netip.AddrPort]bool),
 	}
 }
 
 // SetService puts the service's configuration in force: the addresses that lead
-// to it, as of position.
+// to it, as of position; 0 for a service that was removed.
 func (h *Host) SetService(id view.ServiceID, position view.Version, routed []netip.AddrPort) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.service, h.position = id, position
+	h.service, h.position, h.untold = id, position, false
 	clear(h.routed)
 	for _, addr := range routed {
 		h.routed[addr] = true
 	}
 }
 
+// ForgetService notes that the backend server serves another service, whose
+// configuration is not known yet.
+func (h *Host) ForgetService() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.service, h.position, h.untold = 0, view.Version{}, true
+	clear(h.routed)
+}
+
 // Begin notes a new run of the backend server, which holds no flow. Where it is
 // first, the run may have begun before this process did.
-func (h *Host) Begin(first bool) {
+func (h *Host) Begin(run view.Incarnation, first bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.run = run
 	clear(h.flows)
 	clear(h.probes)
 	h.running = 0
@@ -233,10 +248,13 @@
 	return NoRefusal // the backend server knows
 }
 
-// refusesNew judges a new flow by the newer of both configurations.
+// refusesNew judges a new flow by the newer of both configurations. While none is
+// known here, the balancer's counts if it has chosen this run of the backend server,
+// whose service it then knows from a view.
 func (h *Host) refusesNew(a Arrival, s *Segment) Refusal {
+	chosen := h.untold && a.Run != 0 && a.Run == h.run
 	switch {
-	case h.service == 0 || a.Service != h.service:
+	case !chosen && (h.service == 0 || a.Service != h.service):
 		return OtherService
 	case h.standing != Serving || h.ended():
 		return NotTaking
--- a/core/steer/host_test.go
+++ b/core/steer/host_test.go
@@ -10,13 +10,16 @@
 	"fulmarmount.org/core/view"
 )
 
-const patience = 2 * time.Second
+const (
+	patience                  = 2 * time.Second
+	testRun  view.Incarnation = 9
+)
 
 // newHost returns a host that serves desk at address, started at 0.
 func newHost(standing Standing, whole bool) *Host {
 	h := NewHost(0, HostOptions{Patience: patience, Idle: 15 * time.Second})
 	h.SetService(desk, view.Version{Epoch: 1, Number: 5}, []netip.AddrPort{address})
-	h.Begin(!whole)
+	h.Begin(testRun, !whole)
 	if standing != Unheard {
 		h.SetStanding(standing)
 	}
@@ -65,6 +68,24 @@
 	}
 }
 
+// A balancer may know of a backend server before the agent knows the configuration.
+func TestNewFlowsForThisRunNeedNoConfigurationYet(t *testing.T) {
+	is := is.New(t)
+	h := NewHost(0, HostOptions{Patience: patience, Idle: 15 * time.Second})
+	h.Begin(testRun, false)
+	h.SetStanding(Serving)
+	chosen, earlier := arrival(5), arrival(5)
+	chosen.Run, earlier.Run = testRun, testRun-1
+	is.Equal(h.Receive(testAge, syn(1), chosen).Refusal, NoRefusal)
+	is.Equal(h.Receive(testAge, syn(2), earlier).Refusal, OtherService)
+	is.Equal(h.Receive(testAge, syn(3), arrival(5)).Refusal, OtherService) // of no run
+
+	h.SetService(0, view.Version{}, nil) // it was removed
+	is.Equal(h.Receive(testAge, syn(4), chosen).Refusal, OtherService)
+	h.ForgetService()
+	is.Equal(h.Receive(testAge, syn(5), chosen).Refusal, NoRefusal)
+}
+
 func TestDrainingBackendServerKeepsItsFlows(t *testing.T) {
 	is := is.New(t)
 	h := newHost(Serving, true)
@@ -156,6 +177,6 @@
 	}
 	h.Receive(0, syn(2), arrival(5))
 	h.Receive(0, data(2), arrival(5))
-	h.Begin(false) // a new run holds nothing
+	h.Begin(testRun+1, false) // a new run holds nothing
 	is.Equal(h.Load(), Load{})
 }
--- a/internal/role/control/term.go
+++ b/internal/role/control/term.go
@@ -47,6 +47,8 @@
 	registry      *lease.Registry
 	pending       *pending
 	published     []publication
+	// hasViews is set once a view of this epoch was published.
+	hasViews bool
 	// seating is set while a change of seats is being replicated.
 	seating bool
 }
@@ -134,6 +136,9 @@
 	if err := c.registry.Announce(now, service.ID, a); err != nil {
 		return proto.AnnounceReply{Reason: err.Error(), Lease: leaseTime}
 	}
+	if !c.hasViews && c.registry.Collected(now) {
+		c.publishViews() // callers may wait for the first views
+	}
 	return proto.AnnounceReply{Accepted: true, Lease: leaseTime, Loads: c.registry.Loads(now, service.ID, a.ID, maxLoads)}
 }
 
@@ -149,10 +154,16 @@
 	defer c.mu.Unlock()
 	c.expireExceptions(c.options.Now())
 	c.changeSeats()
+	c.publishViews()
+	c.notePending(c.options.Now())
+}
+
+// publishViews publishes the views that have changed. The caller holds the lock.
+func (c *term) publishViews() {
 	for _, v := range c.registry.Tick(c.elapsed()) {
 		c.publish(v)
+		c.hasViews = true
 	}
-	c.notePending(c.options.Now())
 }
 
 // publish hands a view to the subscribers. The caller holds the lock.
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -164,7 +164,7 @@
 	now := a.elapsed()
 	a.balancers.heard(now, h.ReplyTo)
 	arrival := steer.Arrival{
-		Service: h.Flow.Service, Position: h.Flow.Ballot.Version, Balancer: h.ReplyTo,
+		Service: h.Flow.Service, Position: h.Flow.Ballot.Version, Run: h.Flow.Target, Balancer: h.ReplyTo,
 		Hops: h.Flow.Hops, Informed: h.Flow.Informed,
 	}
 	decision := a.host.Receive(now, &segment.Segment, arrival)
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -53,11 +53,11 @@
 // begin notes a new run of the backend server. The caller holds the lock.
 func (a *Agent) begin(i Instance) {
 	first := a.instance.Run == 0 && i.Sequence > 1
-	a.host.Begin(first)
+	a.host.Begin(view.Incarnation(i.Run), first)
 	if i.Service != a.options.Service {
 		a.options.Log.Warn("Backend server serves another service.", zap.String("service", i.Service), zap.String("before", a.options.Service))
 		a.options.Service, a.service = i.Service, 0
-		a.host.SetService(0, view.Version{}, nil)
+		a.host.ForgetService()
 		a.subscribe(i.Service)
 	}
 }
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -314,7 +314,7 @@
 	b.send(d.To.Addr, &packet.Header{
 		Kind: packet.Forward, ReplyTo: b.conn.Addr(),
 		Flow: flow.Packet{
-			Service: d.Service, Ballot: flow.Ballot{Version: b.position(d.Service)},
+			Service: d.Service, Ballot: flow.Ballot{Version: b.position(d.Service)}, Target: d.To.Incarnation,
 			Tuple: s.Tuple, Hops: d.Hops, Informed: d.Informed,
 		},
 	}, payload)
