--- a/core/spread/sink.go
+++ b/core/spread/sink.go
@@ -38,7 +38,10 @@
 // Bounds of what a Sink remembers.
 const (
 	maxProbes = 16
-	maxGoals  = 8
+	// firstCheck is the time between the first two probes of a session; it doubles
+	// up to SinkOptions.CheckEvery.
+	firstCheck = 50 * time.Millisecond
+	maxGoals   = 8
 )
 
 // probe is a question about the Source's state.
@@ -66,7 +69,9 @@
 	nonce    uint64
 	probes   []probe
 	probedAt time.Duration
-	heardAt  time.Duration
+	// checkAfter is the time until the next probe while the state is not confirmed.
+	checkAfter time.Duration
+	heardAt    time.Duration
 
 	transfer uint32   // the whole-state transfer last seen in the session
 	cursor   Position // its progress
@@ -115,6 +120,7 @@
 func (s *Sink) Connect(now time.Duration, session uint64) Output {
 	s.session, s.open, s.heardAt = session, true, now
 	s.transfer, s.cursor, s.probes = 0, Position{}, nil
+	s.checkAfter = firstCheck
 	var out Output
 	out.Messages = append(out.Messages, s.up(Up{Subscribe: &Subscribe{
 		ID:       s.opts.ID,
@@ -134,11 +140,12 @@
 func (s *Sink) Tick(now time.Duration) Output {
 	every := s.opts.ProbeEvery
 	if !s.checked {
-		every = s.opts.CheckEvery
+		every = min(s.checkAfter, s.opts.CheckEvery)
 	}
 	if !s.open || now-s.probedAt < every {
 		return Output{}
 	}
+	s.checkAfter = min(2*s.checkAfter, s.opts.CheckEvery)
 	return Output{Messages: []Up{s.probe(now)}}
 }
 
--- a/core/spread/window_test.go
+++ b/core/spread/window_test.go
@@ -8,6 +8,22 @@
 	"github.com/matryer/is"
 )
 
+// A process that starts beside its Source asks soon whether its state is current:
+// the first answer may date from before the start. Later it asks less often.
+func TestSinkAsksSoonAfterItsStart(t *testing.T) {
+	const tick = 50 * time.Millisecond
+	is := is.New(t)
+	sink := NewSink(0, NewStore(StoreOptions{}), SinkOptions{ID: "balancer-1", CheckEvery: 250 * time.Millisecond})
+	sink.Connect(0, 1)
+	var asked []time.Duration
+	for now := tick; now <= time.Second; now += tick {
+		if len(sink.Tick(now).Messages) > 0 {
+			asked = append(asked, now)
+		}
+	}
+	is.Equal(asked, []time.Duration{tick, 3 * tick, 7 * tick, 12 * tick, 17 * tick})
+}
+
 // A change that follows a quiet time is sent at once; those that follow it wait for
 // the window, and then go together.
 func TestFirstChangeDoesNotWaitForTheWindow(t *testing.T) {
