--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -293,10 +293,10 @@
 		a.kick()
 	}
 	n := a.note(false)
-	if n.Service == 0 || !a.balancers.due(now, n.Load) {
+	if n.Service == 0 {
 		return
 	}
-	for _, balancer := range a.balancers.active(now) {
+	for _, balancer := range a.balancers.due(now, n.Load) {
 		a.sendNote(balancer, noTuple, n)
 	}
 }
