--- a/core/steer/balancer.go
+++ b/core/steer/balancer.go
@@ -64,7 +64,7 @@
 	// flow is found again among the first of its order.
 	choices = 3
 	// maxSearch is the number of members that are asked for a flow.
-	maxSearch = 32
+	maxSearch = 64
 	// maxPlacements is the number of members that may turn a new flow away.
 	maxPlacements = 4
 )
@@ -281,7 +281,7 @@
 func (b *Balancer) Held(now time.Duration, id flow.ID, service view.ServiceID, seed uint64) {
 	b.owners.set(now, id, owner{service: service, seed: seed, confirmed: true})
 	b.searches.end(id)
-	b.loads.answered(service, seed)
+	b.loads.held(service, seed)
 }
 
 // Report takes a member's report of its load.
--- a/core/steer/balancer_test.go
+++ b/core/steer/balancer_test.go
@@ -342,3 +342,29 @@
 	asked, _ := returnAll(b, data(100))
 	is.Equal(len(asked), 4) // it is asked all the same
 }
+
+// After the loss of all processes every flow is searched for, and answers are late
+// under that load alone: questions that follow by themselves must not add to it.
+func TestFewSearchesGoOnByThemselvesAtATime(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 3)...)
+	for n := range 1000 {
+		b.Steer(testAge, data(n))
+	}
+	is.Equal(len(b.Overdue(testAge+answerTime+1)), maxOverdue)
+}
+
+// The report that comes with the answer to a SYN counts the flow already.
+func TestPlacedFlowIsNotCountedBesideTheReportThatHasIt(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(server(1))
+	seed := view.SeedOf("host-1")
+	again := syn(50)
+	again.Copy = 1 // finds a place where fewer requests than the four slots are counted
+	for n := range 3 {
+		is.Equal(b.Steer(testAge, syn(n)).Verdict, Forward)
+		b.Report(testAge, desk, seed, Load{Flows: uint32(n + 1), Running: uint32(n + 1)})
+		b.Held(testAge, syn(n).Tuple.ID(), desk, seed)
+	}
+	is.Equal(b.Steer(testAge, again).Verdict, Forward)
+}
--- a/core/steer/host.go
+++ b/core/steer/host.go
@@ -89,6 +89,8 @@
 	longestStep = 200 * time.Millisecond
 	// closedTime is how long a flow is kept after both ends have closed it.
 	closedTime = 2 * time.Second
+	// openingTime is how long after it was opened a flow counts as a request.
+	openingTime = 300 * time.Millisecond
 	// maxProbes bounds the balancers that wait to be told about a flow.
 	maxProbes = 8192
 )
@@ -361,6 +363,7 @@
 	}
 	f.hostFIN = f.hostFIN || s.Has(FIN)
 	if s.Has(SYN) {
+		h.setRunning(f, true) // its caller is about to ask
 		return f.balancer
 	}
 	tell = h.probes[id]
@@ -378,6 +381,9 @@
 	h.ticked = now
 	for id, f := range h.flows {
 		age := now - f.seen
+		if f.running && f.asked == 0 && age > openingTime {
+			h.setRunning(f, false)
+		}
 		if age > h.idle || f.hostFIN && f.callerFIN && age > closedTime {
 			h.forget(id)
 		}
--- a/core/steer/host_test.go
+++ b/core/steer/host_test.go
@@ -148,12 +148,23 @@
 	is.True(!h.Ended())
 }
 
-func TestLoadFollowsRequestsAndFlows(t *testing.T) {
+func TestOpenedFlowThatAsksNothingIsNoRequest(t *testing.T) {
 	is := is.New(t)
 	h := newHost(Serving, true)
 	h.Receive(0, syn(1), arrival(5))
 	h.Sent(0, answer(1, SYN|ACK, 0))
+	h.Tick(openingTime)
+	is.Equal(h.Load(), Load{Flows: 1, Running: 1})
+	h.Tick(openingTime + 1)
 	is.Equal(h.Load(), Load{Flows: 1})
+}
+
+func TestLoadFollowsRequestsAndFlows(t *testing.T) {
+	is := is.New(t)
+	h := newHost(Serving, true)
+	h.Receive(0, syn(1), arrival(5))
+	h.Sent(0, answer(1, SYN|ACK, 0))
+	is.Equal(h.Load(), Load{Flows: 1, Running: 1}) // its caller is about to ask
 	request := data(1)
 	h.Receive(0, request, arrival(5))
 	request.Seq += uint32(request.Length)
--- a/core/steer/loads.go
+++ b/core/steer/loads.go
@@ -106,6 +106,21 @@
 	}
 }
 
+// held notes that a member was heard and has a flow that was placed: its reports
+// count the flow from now on.
+func (l *loads) held(service view.ServiceID, seed uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := l.byID[loadKey{service, seed}]
+	if found == nil {
+		return
+	}
+	found.silent = false
+	if len(found.placed) > 0 {
+		found.placed = found.placed[1:]
+	}
+}
+
 // silentLast moves members that are silent, gone or have left behind the others.
 func (l *loads) silentLast(holders []*member) {
 	l.mu.Lock()
--- a/core/steer/searches.go
+++ b/core/steer/searches.go
@@ -13,6 +13,11 @@
 	answerTime = 60 * time.Millisecond
 	// searchTime is how long a search is remembered after its last question.
 	searchTime = 2 * time.Second
+	// maxOverdue bounds the searches that go on by themselves at a time. One member
+	// that is gone holds up few, as it is asked last from then on; many mean that
+	// answers are late because there is too much to do, and more questions would
+	// make that worse.
+	maxOverdue = 4
 	// maxSearches bounds the searches of one shard.
 	maxSearches = 4096
 )
@@ -105,7 +110,7 @@
 			switch waited := now - found.at; {
 			case waited > searchTime:
 				delete(shard.byFlow, id)
-			case waited > answerTime:
+			case waited > answerTime && len(out) < maxOverdue:
 				out = append(out, id)
 			}
 		}
