--- a/core/spread/sink.go
+++ b/core/spread/sink.go
@@ -38,12 +38,13 @@
 // Bounds of what a Sink remembers.
 const (
 	maxProbes = 16
-	// firstCheck is the time between the first two probes of a session; it doubles
-	// up to SinkOptions.CheckEvery.
-	firstCheck = 50 * time.Millisecond
-	maxGoals   = 8
+	maxGoals  = 8
 )
 
+// firstCheck is the time between the first two probes of a session; it doubles up
+// to SinkOptions.CheckEvery.
+const firstCheck = 50 * time.Millisecond
+
 // probe is a question about the Source's state.
 type probe struct {
 	nonce  uint64
--- a/internal/replicalink/link_test.go
+++ b/internal/replicalink/link_test.go
@@ -140,10 +140,10 @@
 	is.NoErr(err)
 	defer func() { _ = silent.Close() }()
 	s := a.link.sender(netip.MustParseAddrPort(silent.LocalAddr().String()))
-	out := &outgoing{hello: s.nextHello()}
+	hello := s.nextHello()
 	ended := make(chan error, 1)
 	go func() {
-		_, err := s.attempt(out)
+		_, err := s.attempt(hello, false)
 		ended <- err
 	}()
 	a.link.greeted(2, s.addr)
--- a/internal/replicalink/sender.go
+++ b/internal/replicalink/sender.go
@@ -114,10 +114,10 @@
 		return false
 	}
 	out.hello = s.nextHello()
-	stream, err := s.attempt(out)
+	stream, err := s.attempt(out.hello, out.fresh)
 	if err != nil && isClosed(out.hello) {
 		out.hello = s.nextHello()
-		stream, err = s.attempt(out)
+		stream, err = s.attempt(out.hello, out.fresh)
 	}
 	if err != nil {
 		s.link.options.Log.Debug("Cannot reach a replica.", zap.Stringer("replica", s.addr), zap.Error(err))
@@ -128,19 +128,20 @@
 	return true
 }
 
-// attempt opens a stream until openTimeout has passed or the replica is greeted.
-func (s *sender) attempt(out *outgoing) (*peer.Stream, error) {
+// attempt opens a stream until openTimeout has passed or hello is closed; on a new
+// connection where fresh is set.
+func (s *sender) attempt(hello <-chan struct{}, fresh bool) (*peer.Stream, error) {
 	ctx, cancel := context.WithTimeout(s.link.ctx, openTimeout)
 	defer cancel()
 	go func() {
 		select {
-		case <-out.hello:
+		case <-hello:
 			cancel()
 		case <-ctx.Done():
 		}
 	}()
 	open := s.link.options.Pool.Open
-	if out.fresh {
+	if fresh {
 		open = s.link.options.Pool.OpenFresh
 	}
 	stream, err := open(ctx, s.addr, Messages)
