--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -298,6 +298,10 @@
 	return r.leading && (!r.collecting(now) || r.mostHeard())
 }
 
+// FirstViewsDue reports whether enough was heard for the first views of the epoch
+// and none was published.
+func (r *Registry) FirstViewsDue(now time.Duration) bool { return r.number == 0 && r.Collected(now) }
+
 // Tick returns the views that have changed, in the order of their services.
 func (r *Registry) Tick(now time.Duration) []*view.View {
 	if !r.Collected(now) {
--- a/core/lease/seats_test.go
+++ b/core/lease/seats_test.go
@@ -117,10 +117,12 @@
 	is.True(!r.Collected(step))
 	authoritative(t, r, 2*step, 3)
 	is.True(r.Collected(2 * step))
+	is.True(r.FirstViewsDue(2 * step))
 	first := r.Tick(2 * step)
 	is.Equal(len(first), 1)
 	is.True(first[0].Partial)
 	is.Equal(len(first[0].Members), 3)
+	is.True(!r.FirstViewsDue(2 * step))
 	authoritative(t, r, 3*step, 4)
 	next := r.Tick(3 * step) // a whole view does not wait behind a partial one
 	is.Equal(len(next), 1)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -57,14 +57,10 @@
 // is refused by the log, and offered again later.
 func (k *Keeper) Next(now time.Duration, s State) (quorum.ConfChange, bool) {
 	k.listen(now, s)
-	for _, find := range []func(time.Duration, []quorum.Member, quorum.ReplicaID) (quorum.ConfChange, bool){
-		k.removable, k.promotable,
-	} {
-		if change, ok := find(now, s.Members, s.Self); ok {
-			return change, true
-		}
+	if change, ok := k.removable(now, s.Members, s.Self); ok {
+		return change, true
 	}
-	return quorum.ConfChange{}, false
+	return k.promotable(now, s.Members)
 }
 
 // Absent returns the voters that are missed.
@@ -131,7 +127,7 @@
 
 // promotable finds a learner that is to vote: where voters are too few, or one
 // of them is missed.
-func (k *Keeper) promotable(now time.Duration, members []quorum.Member, _ quorum.ReplicaID) (quorum.ConfChange, bool) {
+func (k *Keeper) promotable(now time.Duration, members []quorum.Member) (quorum.ConfChange, bool) {
 	lost := 0
 	for _, m := range members {
 		if !m.Learner && (k.absent(now, m.ID) || k.superseded(now, members, m)) {
--- a/core/spread/sink.go
+++ b/core/spread/sink.go
@@ -121,7 +121,7 @@
 func (s *Sink) Connect(now time.Duration, session uint64) Output {
 	s.session, s.open, s.heardAt = session, true, now
 	s.transfer, s.cursor, s.probes = 0, Position{}, nil
-	s.checkAfter = firstCheck
+	s.checkAfter = min(firstCheck, s.opts.CheckEvery)
 	var out Output
 	out.Messages = append(out.Messages, s.up(Up{Subscribe: &Subscribe{
 		ID:       s.opts.ID,
@@ -141,7 +141,7 @@
 func (s *Sink) Tick(now time.Duration) Output {
 	every := s.opts.ProbeEvery
 	if !s.checked {
-		every = min(s.checkAfter, s.opts.CheckEvery)
+		every = s.checkAfter
 	}
 	if !s.open || now-s.probedAt < every {
 		return Output{}
--- a/core/steer/balancer.go
+++ b/core/steer/balancer.go
@@ -128,13 +128,18 @@
 	}
 	if o, ok := b.owners.get(now, id); ok {
 		if m := t.find(o.service, o.seed); m != nil {
-			return Decision{Verdict: Forward, Reason: Remembered, To: m.peer, Service: m.service, Informed: true}
+			return remembered(m)
 		}
 		b.owners.drop(id)
 	}
 	return b.search(now, t, s, id, 0)
 }
 
+// remembered sends a segment where its flow is known to be.
+func remembered(m *member) Decision {
+	return Decision{Verdict: Forward, Reason: Remembered, To: m.peer, Service: m.service, Informed: true}
+}
+
 func (b *Balancer) unrouted(s *Segment) Decision {
 	switch {
 	case !b.Current():
@@ -157,7 +162,7 @@
 	case m == nil:
 		return b.place(now, t, s, id, 0)
 	case o.confirmed || s.Copy <= o.copies:
-		return Decision{Verdict: Forward, Reason: Remembered, To: m.peer, Service: m.service, Informed: true}
+		return remembered(m)
 	}
 	b.loads.suspect(now, m)
 	return b.place(now, t, s, id, 0)
@@ -254,7 +259,7 @@
 	case known && !s.Opens():
 		// The flow was found meanwhile.
 		if m := t.find(o.service, o.seed); m != nil {
-			return Decision{Verdict: Forward, Reason: Remembered, To: m.peer, Service: m.service, Informed: true}
+			return remembered(m)
 		}
 	}
 	if s.Opens() {
--- a/core/steer/loads.go
+++ b/core/steer/loads.go
@@ -146,19 +146,16 @@
 	}
 }
 
-// choose returns the member with the least load among those that take new flows
-// and are not suspected, and notes that a flow is placed there. Where all are
-// suspected, it is the first that takes new flows. A member of the balancer's own
-// zone is taken to have zoneGain less load.
+// choose returns the member with the least load among candidates, which take new
+// flows, that is not suspected, and notes that a flow is placed there. Where all are
+// suspected, it is the first. A member of the balancer's own zone is taken to have
+// zoneGain less load.
 func (l *loads) choose(now time.Duration, candidates []*member, zone string) *member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var best, spare *member
 	var least uint64
 	for _, m := range candidates {
-		if !m.takes {
-			continue
-		}
 		if spare == nil {
 			spare = m
 		}
--- a/internal/role/control/term.go
+++ b/internal/role/control/term.go
@@ -47,8 +47,6 @@
 	registry      *lease.Registry
 	pending       *pending
 	published     []publication
-	// hasViews is set once a view of this epoch was published.
-	hasViews bool
 	// seating is set while a change of seats is being replicated.
 	seating bool
 }
@@ -136,7 +134,7 @@
 	if err := c.registry.Announce(now, service.ID, a); err != nil {
 		return proto.AnnounceReply{Reason: err.Error(), Lease: leaseTime}
 	}
-	if !c.hasViews && c.registry.Collected(now) {
+	if c.registry.FirstViewsDue(now) {
 		c.publishViews() // callers may wait for the first views
 	}
 	return proto.AnnounceReply{Accepted: true, Lease: leaseTime, Loads: c.registry.Loads(now, service.ID, a.ID, maxLoads)}
@@ -162,7 +160,6 @@
 func (c *term) publishViews() {
 	for _, v := range c.registry.Tick(c.elapsed()) {
 		c.publish(v)
-		c.hasViews = true
 	}
 }
 
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -88,7 +88,7 @@
 		a.subscribe(o.Service)
 	}
 	a.tasks.Go(func() { a.read(a.receive) })
-	a.tasks.Go(a.readBackend)
+	a.tasks.Go(func() { a.readFrom(a.outbound, a.receiveBackend) })
 	a.tasks.Go(func() { a.announce(a.ctx) })
 	a.tasks.Go(func() { pace.Every(a.ctx, tickInterval, a.tick) })
 	return a, nil
@@ -228,29 +228,19 @@
 	return view.SeedOf(a.instance.ID)
 }
 
-// readBackend sends the backend server's packets on until the socket is closed.
-func (a *Agent) readBackend() {
-	buf := make([]byte, maxDatagram)
-	for {
-		n, from, _, err := a.outbound.Read(buf)
-		if err != nil {
-			if a.ended(err) {
-				return
-			}
-			continue
-		}
-		h, err := a.options.Codec.Decode(buf[:n], FromBackend)
-		if err != nil {
-			a.counts.garbled.Add(1)
-			a.options.Log.Warn("Dropped a packet that cannot be read.", zap.Stringer("from", from), zap.Error(err))
-			continue
-		}
-		if h.Bounced {
-			a.bounce(&h, buf[:n])
-			continue
-		}
-		a.reply(&h.Segment, buf[:n])
+// receiveBackend sends a packet of the backend server on.
+func (a *Agent) receiveBackend(payload []byte, from netip.AddrPort) {
+	h, err := a.options.Codec.Decode(payload, FromBackend)
+	if err != nil {
+		a.counts.garbled.Add(1)
+		a.options.Log.Warn("Dropped a packet that cannot be read.", zap.Stringer("from", from), zap.Error(err))
+		return
+	}
+	if h.Bounced {
+		a.bounce(&h, payload)
+		return
 	}
+	a.reply(&h.Segment, payload)
 }
 
 // bounce returns what the backend server does not take.
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -96,7 +96,7 @@
 		pool: newPool(o.Common), decisions: newDecisions(), placed: newTimes(), kept: newKept(),
 		positions: make(map[view.ServiceID]view.Version), services: make(map[string]proto.Service),
 	}
-	b.tasks.Go(b.readCallers)
+	b.tasks.Go(func() { b.readFrom(b.callers, b.receiveCaller) })
 	b.tasks.Go(func() { pace.Every(ctx, searchInterval, b.resume) })
 	b.tasks.Go(func() { b.read(b.receive) })
 	b.tasks.Go(func() {
@@ -201,26 +201,16 @@
 	return b.positions[id]
 }
 
-// readCallers steers the packets of callers until the socket is closed.
-func (b *Balancer) readCallers() {
-	buf := make([]byte, maxDatagram)
-	for {
-		n, from, _, err := b.callers.Read(buf)
-		if err != nil {
-			if b.ended(err) {
-				return
-			}
-			continue
-		}
-		h, err := b.options.Codec.Decode(buf[:n], FromCaller)
-		if err != nil {
-			b.counts.garbled.Add(1)
-			b.options.Log.Debug("Dropped a packet that cannot be read.", zap.Stringer("from", from), zap.Error(err))
-			continue
-		}
-		now := b.elapsed()
-		b.carryOut(now, &h.Segment, b.steer.Steer(now, &h.Segment), buf[:n])
+// receiveCaller steers a packet of a caller.
+func (b *Balancer) receiveCaller(payload []byte, from netip.AddrPort) {
+	h, err := b.options.Codec.Decode(payload, FromCaller)
+	if err != nil {
+		b.counts.garbled.Add(1)
+		b.options.Log.Debug("Dropped a packet that cannot be read.", zap.Stringer("from", from), zap.Error(err))
+		return
 	}
+	now := b.elapsed()
+	b.carryOut(now, &h.Segment, b.steer.Steer(now, &h.Segment), payload)
 }
 
 // resume sends the packets on whose last question nobody has answered.
--- a/internal/segment/envelope.go
+++ b/internal/segment/envelope.go
@@ -76,23 +76,30 @@
 
 // read hands on each envelope that opens, until the socket is closed.
 func (e *envelopes) read(handle func(h *packet.Header, payload []byte)) {
-	buf := make([]byte, maxDatagram)
 	var header packet.Header
-	for {
-		n, from, _, err := e.conn.Read(buf)
-		if err != nil {
-			if e.ended(err) {
-				return
-			}
-			continue
-		}
-		payload, err := e.opener.Open(buf[:n], &header)
+	e.readFrom(e.conn, func(datagram []byte, from netip.AddrPort) {
+		payload, err := e.opener.Open(datagram, &header)
 		if err != nil {
 			e.counts.refused.Add(1)
 			e.log.Debug("Refused an envelope.", zap.Stringer("from", from), zap.Error(err))
-			continue
+			return
 		}
 		handle(&header, payload)
+	})
+}
+
+// readFrom hands on each datagram of a socket until the socket is closed. The
+// datagram is valid until handle returns.
+func (e *envelopes) readFrom(conn *udp.Conn, handle func(datagram []byte, from netip.AddrPort)) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, _, err := conn.Read(buf)
+		switch {
+		case err == nil:
+			handle(buf[:n], from)
+		case e.ended(err):
+			return
+		}
 	}
 }
 
--- a/internal/subscribe/publisher.go
+++ b/internal/subscribe/publisher.go
@@ -162,16 +162,16 @@
 		if !pace.Sleep(ctx, gatherTime) {
 			return
 		}
-		if p.due() {
-			p.tick()
-		}
+		p.tickIfDue()
 	}
 }
 
-func (p *Publisher) due() bool {
+func (p *Publisher) tickIfDue() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.root.Due(p.now())
+	if now := p.now(); p.root.Due(now) {
+		p.deliver(p.root.Tick(now))
+	}
 }
 
 // confirm has a majority confirm the publisher, over and over.
