Save the time of an agent's handover state in nanoseconds

Cause: the handover state was encoded with the codec's default, whole seconds, while a successor refuses a state older than 1 s. Change: the time is encoded with nanoseconds. A state of a previous build is still taken: a time without a fraction proves only its second, and the latest packet in that second proves more. Where neither shows that the state is young enough it is refused as before, as other agents may own its flows by then. An older build reads the new encoding too (the codec takes both forms). Test: TestHandoverStateIsUsedUpToItsMaximumAge, five of nine rows failed before.

--- a/internal/role/agent/succession.go
+++ b/internal/role/agent/handover.go
@@ -2,17 +2,14 @@
 
 import (
 	"net"
-	"net/netip"
 	"os"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
-	"fulmarmount.org/fulmarmount/internal/packet"
 	"fulmarmount.org/fulmarmount/internal/proto"
 	"fulmarmount.org/fulmarmount/internal/udp"
 )
@@ -24,82 +21,9 @@
 	errHandoverState = errorNamespace.NewType("succession")
 )
 
-const (
-	// maxStateAge is the maximum age of a predecessor's state. Other agents skip an
-	// agent that has been unresponsive for longer, and may become owners of its
-	// flows.
-	maxStateAge = time.Second
-	// sequenceGap is added to the predecessor's last announcement number, so that a
-	// successor's announcements supersede those of its predecessor in flight.
-	sequenceGap = 1 << 20
-	// stateFileMode makes the state file accessible only to its user.
-	stateFileMode = 0o600
-)
-
-// handoverState is the state that a stopping agent saves for the next process on
-// its VM, which continues the same incarnation: its flows with their sockets, the
-// promises about other flows, and the active configuration and view.
-type handoverState struct {
-	At          time.Time             `cbor:"1,keyasint"`
-	ID          string                `cbor:"2,keyasint"`
-	Incarnation view.Incarnation      `cbor:"3,keyasint"`
-	Sequence    uint64                `cbor:"4,keyasint"`
-	Services    []proto.Service       `cbor:"5,keyasint"`
-	View        *view.View            `cbor:"6,keyasint"`
-	Entries     []flow.Record         `cbor:"7,keyasint"`
-	Sockets     []flowSocketState     `cbor:"8,keyasint"`
-	Sessions    []packet.SessionState `cbor:"9,keyasint"`
-}
-
-// flowSocketState is the socket of an owned flow. The successor binds the same
-// local address, so the backend server sees no change.
-type flowSocketState struct {
-	Caller  netip.AddrPort `cbor:"1,keyasint"`
-	Service netip.AddrPort `cbor:"2,keyasint"`
-	Local   netip.AddrPort `cbor:"3,keyasint"`
-	ReplyTo netip.AddrPort `cbor:"4,keyasint"`
-	Seen    int64          `cbor:"5,keyasint"` // Unix time in nanoseconds
-}
-
-// loadHandoverState reads and removes the state file of a predecessor. It returns
-// nil if there is no usable state.
-func loadHandoverState(o Options) *handoverState {
-	if o.HandoverPath == "" {
-		return nil
-	}
-	data, err := os.ReadFile(o.HandoverPath)
-	if os.IsNotExist(err) {
-		return nil
-	}
-	if removeErr := os.Remove(o.HandoverPath); err == nil {
-		err = removeErr // a state file that remains could be restored twice
-	}
-	s := &handoverState{}
-	if err == nil {
-		err = cbor.Unmarshal(data, s)
-	}
-	if err == nil {
-		err = s.validate(o)
-	}
-	if err != nil {
-		o.Log.Warn("Cannot use the predecessor's handover state; starting a new incarnation without its flows.", zap.Error(err))
-		return nil
-	}
-	return s
-}
-
-func (s *handoverState) validate(o Options) error {
-	age := o.Now().Sub(s.At)
-	switch {
-	case s.ID != o.ID:
-		return errHandoverState.New("handover state is of backend server %q, want %q", s.ID, o.ID)
-	case age < 0 || age > maxStateAge:
-		return errHandoverState.New("handover state is %s old, want 0 to %s", age, maxStateAge)
-	case s.View == nil:
-		return errHandoverState.New("handover state contains no view")
-	}
-	return nil
-}
+// sequenceGap is added to the predecessor's last announcement number, so that a
+// successor's announcements supersede those of its predecessor in flight.
+const sequenceGap = 1 << 20
 
 // restore restores a predecessor's state; nil is ignored. It runs before the
 // first packet is received.
@@ -170,7 +94,7 @@
 	if config := a.serviceConfig.Load(); config != nil {
 		s.Services = []proto.Service{*config}
 	}
-	data, err := cbor.Marshal(s)
+	data, err := s.encode()
 	if err == nil {
 		err = os.WriteFile(a.options.HandoverPath, data, stateFileMode)
 	}
