Report agents that cannot be registered; distinguish registrations by their digest

Shown and mended: the digest of a command left out registrations, so that a request ID used for other registrations returned the first result; additions beyond maxRegisteredAgents vanished without a word. Shown not to happen: the digest leaves out the listeners of a document, but only imports change them and the digest covers an import's raw document; an urgency above MaxUrgency is clamped where imports are read, and a stricter check in the state machine would decide committed entries anew, so the field now says what such a value means. History kept after an import: no test failed when the line that drops it was removed; TestNoRollbackGoesBehindAnImport does. Change: digests cover registrations (digests of other commands are as before), the result of a registration names what was left out, and control logs it. The state after each command is unchanged, so replays agree. Tests: two of the three new ones failed before; the third kills the mutation.

--- a/core/fleet/digest.go
+++ b/core/fleet/digest.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 // digest returns a hash of the command without its author and time. It distinguishes
-// a resent command from a different command with the same request ID.
+// a resent command from a different command with the same request ID. It omits the
+// listeners of a document: only imports change them, and the digest of an import covers
+// its raw document, from which they were read.
 func (c *Command) digest() uint64 {
 	h := hasher{xxhash.New()}
 	h.number(uint64(c.Kind))
@@ -27,6 +30,10 @@
 		h.number(c.Import.Number)
 		h.text(string(c.Import.RawDocument))
 	}
+	if c.Registrations != nil {
+		h.addrs(c.Registrations.Added)
+		h.addrs(c.Registrations.Removed)
+	}
 	return h.Sum64()
 }
 
@@ -52,6 +59,13 @@
 	}
 }
 
+func (h hasher) addrs(list []netip.AddrPort) {
+	h.number(uint64(len(list)))
+	for _, addr := range list {
+		h.text(addr.String())
+	}
+}
+
 func (h hasher) patch(p *Patch) {
 	if p.Defaults != nil {
 		h.settings(p.Defaults)
@@ -79,10 +93,7 @@
 	h.text(s.Name)
 	h.text(string(s.Mode))
 	h.number(uint64(s.Share))
-	h.number(uint64(len(s.Addresses)))
-	for _, addr := range s.Addresses {
-		h.text(addr.String())
-	}
+	h.addrs(s.Addresses)
 	h.number(uint64(len(s.Classes)))
 	for _, c := range s.Classes {
 		h.text(c.Name)
--- a/core/fleet/import.go
+++ b/core/fleet/import.go
@@ -18,7 +18,8 @@
 	// LatencyObjective is the response time within which a response has its full
 	// value for the caller.
 	LatencyObjective time.Duration `cbor:"5,keyasint" json:"objective"`
-	// Urgency is 0 for the most urgent requests.
+	// Urgency is 0 for the most urgent requests. Values above MaxUrgency are valid and
+	// as urgent as MaxUrgency, so that no import is refused for them.
 	Urgency uint8 `cbor:"6,keyasint" json:"urgency"`
 	// Idempotent is set if requests may be executed more than once.
 	Idempotent bool `cbor:"7,keyasint" json:"idempotent"`
--- a/core/fleet/import_test.go
+++ b/core/fleet/import_test.go
@@ -93,6 +93,66 @@
 	is.Equal(restored.RegisteredAgents(), []netip.AddrPort{one})
 }
 
+func TestRequestIDOfOtherRegistrationsIsReused(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	one, two := netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.2:7000")
+	register := func(index uint64, change RegistrationChange) Outcome {
+		return m.Apply(index, Command{Kind: KindRegistrations, RequestID: "r", Registrations: &change}).Outcome
+	}
+	is.Equal(register(1, RegistrationChange{Added: []netip.AddrPort{one}}), OutcomeAccepted)
+	is.Equal(register(2, RegistrationChange{Added: []netip.AddrPort{one}}), OutcomeAccepted)
+	is.Equal(register(3, RegistrationChange{Added: []netip.AddrPort{two}}), OutcomeRequestIDReused)
+	is.Equal(register(4, RegistrationChange{Removed: []netip.AddrPort{one}}), OutcomeRequestIDReused)
+	is.Equal(m.RegisteredAgents(), []netip.AddrPort{one})
+}
+
+func TestRegistrationsBeyondTheLimitAreReported(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	var all []netip.AddrPort
+	for n := range maxRegisteredAgents + 2 {
+		addr := netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)})
+		all = append(all, netip.AddrPortFrom(addr, 7000))
+	}
+	within := all[:maxRegisteredAgents]
+	is.Equal(m.Apply(1, Command{Kind: KindRegistrations, Registrations: &RegistrationChange{Added: within}}).Problems, nil)
+	result := m.Apply(2, Command{Kind: KindRegistrations, Registrations: &RegistrationChange{Added: all[maxRegisteredAgents:]}})
+	is.Equal(len(result.Problems), 1)
+	is.Equal(len(m.RegisteredAgents()), maxRegisteredAgents)
+}
+
+// A rollback cannot restore a version from before an import, not even after further
+// versions and a restart from a snapshot.
+func TestNoRollbackGoesBehindAnImport(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	is.Equal(m.Apply(1, Command{Kind: KindApply, Document: document(service("catalogue", 443))}).Outcome, OutcomeAccepted)
+	is.Equal(m.Apply(2, importCommand(7, listenerDocument("order-desk"))).Outcome, OutcomeAccepted)
+	for index := uint64(3); index < 6; index++ {
+		next := listenerDocument("order-desk")
+		next.Defaults.LeaseDuration += time.Duration(index) * time.Second
+		result := m.Apply(index, Command{Kind: KindApply, ExpectedVersion: m.Version(), Document: next})
+		is.Equal(result.Outcome, OutcomeAccepted)
+		restored, err := Restore(m.Snapshot())
+		is.NoErr(err)
+		for _, machine := range []*StateMachine{m, restored} {
+			for version := range uint64(2) { // the import made version 2
+				_, ok := machine.DocumentAt(version)
+				is.True(!ok)
+			}
+			_, ok := machine.DocumentAt(2)
+			is.True(ok)
+		}
+	}
+	for version := range uint64(2) {
+		result := m.Apply(10+version, Command{Kind: KindRollback, ExpectedVersion: m.Version(), RollbackVersion: version})
+		is.Equal(result.Outcome, OutcomeNotFound)
+	}
+	is.Equal(m.Apply(20, Command{Kind: KindRollback, ExpectedVersion: m.Version(), RollbackVersion: 2}).Outcome, OutcomeAccepted)
+	is.Equal(m.Document().Listeners, listenerDocument("order-desk").Listeners)
+}
+
 func TestPreviousServicesOfListenerAreRecorded(t *testing.T) {
 	is := is.New(t)
 	m := New()
--- a/core/fleet/seats.go
+++ b/core/fleet/seats.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
@@ -25,17 +26,27 @@
 }
 
 // changeRegistrations creates neither a version nor a revision, since the change is not
-// visible to operators.
+// visible to operators. Agents beyond maxRegisteredAgents are not added, which the result
+// reports as a problem.
 func (m *StateMachine) changeRegistrations(c *RegistrationChange) Result {
 	for _, addr := range c.Removed {
 		delete(m.registeredAgents, addr)
 	}
+	result, excluded := m.newResult(OutcomeAccepted), 0
 	for _, addr := range c.Added {
-		if len(m.registeredAgents) < maxRegisteredAgents {
-			m.registeredAgents[addr] = struct{}{}
+		if len(m.registeredAgents) >= maxRegisteredAgents {
+			excluded++
+			continue
 		}
+		m.registeredAgents[addr] = struct{}{}
 	}
-	return m.newResult(OutcomeAccepted)
+	if excluded > 0 {
+		result.Problems = []Problem{{
+			Section: "command", Key: "seats",
+			Message: fmt.Sprintf("%d agents are not registered: a fleet has at most %d", excluded, maxRegisteredAgents),
+		}}
+	}
+	return result
 }
 
 func newRegisteredAgents(list []netip.AddrPort) map[netip.AddrPort]struct{} {
--- a/internal/fleetstore/store.go
+++ b/internal/fleetstore/store.go
@@ -51,10 +51,11 @@
 // Peek calls read with the local state, which may lag behind the log.
 func (s *Store) Peek(read func(*fleet.StateMachine)) { s.machine.Read(read) }
 
-// UpdateRegisteredAgents adds and removes registered agents.
-func (s *Store) UpdateRegisteredAgents(ctx context.Context, c fleet.RegistrationChange) error {
-	_, err := s.Propose(ctx, fleet.Command{Kind: fleet.KindRegistrations, Registrations: &c})
-	return err
+// UpdateRegisteredAgents adds and removes registered agents. It returns the problems
+// of agents that could not be registered.
+func (s *Store) UpdateRegisteredAgents(ctx context.Context, c fleet.RegistrationChange) ([]fleet.Problem, error) {
+	result, err := s.Propose(ctx, fleet.Command{Kind: fleet.KindRegistrations, Registrations: &c})
+	return result.Problems, err
 }
 
 // Changed returns a channel that is closed at the next change of the state.
--- a/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -22,8 +22,9 @@
 	Peek(read func(*fleet.StateMachine))
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
-	// UpdateRegisteredAgents adds and removes registered agents.
-	UpdateRegisteredAgents(ctx context.Context, c fleet.RegistrationChange) error
+	// UpdateRegisteredAgents adds and removes registered agents. It returns the
+	// problems of agents that could not be registered.
+	UpdateRegisteredAgents(ctx context.Context, c fleet.RegistrationChange) ([]fleet.Problem, error)
 }
 
 // followDelay bounds the pause before the state is asked for again.
--- a/internal/role/control/seats.go
+++ b/internal/role/control/seats.go
@@ -29,7 +29,7 @@
 func (c *term) replicateSeats(change fleet.RegistrationChange) {
 	ctx, cancel := context.WithTimeout(c.ctx, seatTimeout)
 	defer cancel()
-	err := c.options.Fleet.UpdateRegisteredAgents(ctx, change)
+	problems, err := c.options.Fleet.UpdateRegisteredAgents(ctx, change)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seating = false
@@ -38,6 +38,9 @@
 			zap.Stringers("taken", change.Added), zap.Stringers("left", change.Removed))
 		return
 	}
+	if len(problems) > 0 {
+		c.options.Log.Error("Could not note some agents; their backend servers get no new flows.", zap.Stringers("problems", problems))
+	}
 	c.options.Log.Info("Noted which agents there are.",
 		zap.Stringers("taken", change.Added), zap.Stringers("left", change.Removed))
 	c.options.Fleet.Peek(func(m *fleet.StateMachine) { c.registry.SetRegisteredAgents(m.RegisteredAgents()) })
