Leave out of a search the members that cannot own the flow

Then every caller sends on a flow that was lost with its backend server. Change: views tell the first view that placed flows on an incarnation and since which view a member accepts them without interruption; agents accept a SYN only for the incarnation that the balancer selected, and tell whether a view can have listed theirs. A leader that cannot tell, and a view of an older build, leave nothing out. Members are found by an index instead of a pass. The refusal of a SYN for another incarnation has a name of its own now; two rows expect it in place of other_service.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -93,6 +93,10 @@
 	flapTimes         []time.Duration
 	publishedWeight   uint32 // weight in the latest view
 	publishedState    view.State
+	// wasListed is set if a view of an earlier epoch may have listed this incarnation.
+	wasListed bool
+	// firstAccepting and acceptingSince are as in view.BackendServer.
+	firstAccepting, acceptingSince uint64
 }
 
 // isDraining reports whether an operator or the backend server itself drains the
--- a/core/lease/publish.go
+++ b/core/lease/publish.go
@@ -188,6 +188,7 @@
 		if m.joinedAt == (view.Version{}) {
 			m.joinedAt = version
 		}
+		m.recordAccepting(version.Number)
 		members[i] = m.backendServer()
 	}
 	v := view.New(s.id, version, members)
@@ -199,11 +200,28 @@
 	return v
 }
 
+// recordAccepting records whether the view with the given number places new flows on
+// the member.
+func (m *member) recordAccepting(viewNumber uint64) {
+	b := m.backendServer()
+	if !b.AcceptsNewFlows() {
+		m.acceptingSince = 0
+		return
+	}
+	if m.acceptingSince == 0 {
+		m.acceptingSince = viewNumber
+	}
+	if m.firstAccepting == 0 && !m.wasListed {
+		m.firstAccepting = viewNumber
+	}
+}
+
 func (m *member) backendServer() view.BackendServer {
 	a := &m.announcement
 	return view.BackendServer{
 		ID: m.id, Zone: a.Zone, Incarnation: a.Incarnation, Packets: a.Packets, Requests: a.Requests,
 		Slots: a.Slots, State: m.publishedState, Weight: m.publishedWeight,
+		FirstAccepting: m.firstAccepting, AcceptingSince: m.acceptingSince,
 	}
 }
 
--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -79,6 +79,9 @@
 	r.epoch, r.viewNumber, r.isLeading = epoch, 0, true
 	r.collectUntil = now + r.options.CollectionPeriod
 	r.partialUntil = now + partialPeriodLeases*r.options.LeaseDuration
+	for _, m := range r.members {
+		m.wasListed, m.firstAccepting, m.acceptingSince = true, 0, 0
+	}
 	for _, v := range earlierViews {
 		r.restoreView(now, v)
 	}
@@ -98,7 +101,7 @@
 		}
 		m := &member{
 			id: b.ID, service: v.Service, announcedAt: now, phase: b.State, phaseStart: now,
-			joinedAt: v.Version, drainedByOperator: r.drainedIDs[b.ID],
+			joinedAt: v.Version, drainedByOperator: r.drainedIDs[b.ID], wasListed: true,
 		}
 		m.announcement = view.Announcement{
 			ID: b.ID, Zone: b.Zone, Incarnation: b.Incarnation, Healthy: true,
@@ -160,7 +163,7 @@
 }
 
 func (r *Registry) addMember(now time.Duration, id view.ServiceID, a view.Announcement) *member {
-	m := &member{id: a.ID, service: id, phase: view.Joining, phaseStart: now, drainedByOperator: r.drainedIDs[a.ID]}
+	m := &member{id: a.ID, service: id, phase: view.Joining, phaseStart: now, drainedByOperator: r.drainedIDs[a.ID], wasListed: !a.Unlisted}
 	if r.isCollecting(now) && a.AdoptedVersion != (view.Version{}) {
 		m.phase = view.Ready // it was a member in the previous epoch
 	}
@@ -186,6 +189,7 @@
 func (r *Registry) restartMember(now time.Duration, m *member, a *view.Announcement) {
 	m.recordFlap(now, r.options.FlapWindow)
 	m.phase, m.phaseStart, m.joinedAt = view.Joining, now, view.Version{}
+	m.wasListed, m.firstAccepting = !a.Unlisted, 0
 	if r.isCollecting(now) && a.AdoptedVersion != (view.Version{}) {
 		m.phase = view.Ready
 	}
--- a/core/lease/seats_test.go
+++ b/core/lease/seats_test.go
@@ -155,3 +155,54 @@
 	announceAuthoritative(t, r, 4*time.Second, 1)
 	is.Equal(r.StaleRegistrations(4*time.Second), []netip.AddrPort{agentAddr(2)}) // two lease durations have passed
 }
+
+// Searches leave out members by these numbers, so they must not claim more than the
+// views show.
+func TestViewsTellSinceWhenMembersAcceptFlows(t *testing.T) {
+	is := is.New(t)
+	r := newLeadingRegistry(agentAddr(1), agentAddr(2), agentAddr(3))
+	now := collectionPeriod
+	announce := func(n int, incarnation view.Incarnation, unlisted, draining bool) {
+		t.Helper()
+		is.NoErr(r.Announce(now, 1, view.Announcement{
+			ID: fmt.Sprint("host-", n), Incarnation: incarnation, Packets: agentAddr(n), Healthy: true, BackendTracksFlows: true,
+			Slots: 4, Sequence: uint64(now) + 1, Unlisted: unlisted, Draining: draining,
+		}))
+	}
+	type numbers struct{ first, since uint64 }
+	publish := func() (number uint64, of []numbers) {
+		t.Helper()
+		now += time.Second
+		views := r.Tick(now)
+		is.Equal(len(views), 1)
+		for i := range views[0].Members {
+			b := &views[0].Members[i]
+			of = append(of, numbers{b.FirstAccepting, b.AcceptingSince})
+		}
+		return views[0].Version.Number, of
+	}
+	announce(1, 1, true, false)
+	announce(2, 1, false, false) // an earlier epoch may have listed it
+	first, of := publish()
+	is.Equal(of, []numbers{{first, first}, {0, first}})
+
+	announce(1, 1, false, true) // drains
+	announce(2, 2, true, false) // restarts
+	announce(3, 1, true, false)
+	second, of := publish()
+	is.Equal(of, []numbers{{first, 0}, {second, first}, {second, second}})
+
+	announce(1, 1, false, false) // the drain is cancelled
+	announce(2, 2, false, false)
+	announce(3, 1, false, false)
+	third, of := publish()
+	is.Equal(of, []numbers{{first, third}, {second, first}, {second, second}})
+
+	r.StartEpoch(now, 3, nil)
+	now += collectionPeriod
+	announce(1, 1, false, false)
+	_, of = publish()
+	for _, n := range of {
+		is.Equal(n.first, uint64(0)) // views of the earlier epoch have listed all
+	}
+}
--- a/core/routing/host.go
+++ b/core/routing/host.go
@@ -52,10 +52,13 @@
 	RefusalNotServing           // the backend server accepts no new flows
 	RefusalUnknownFlow          // the backend server does not own the flow
 	RefusalBackendDown          // the backend server is down, and its flows are lost
-	refusalCount        = iota
+	// RefusalOtherIncarnation means that the balancer has selected another incarnation
+	// of the backend server. Searches rely on it, see possibleOwners.
+	RefusalOtherIncarnation
+	refusalCount = iota
 )
 
-var refusalNames = [refusalCount]string{"none", "other_service", "not_routed", "not_taking", "unknown_flow", "ended"}
+var refusalNames = [refusalCount]string{"none", "other_service", "not_routed", "not_taking", "unknown_flow", "ended", "other_run"}
 
 // String returns the refusal's name in logs.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -120,7 +123,9 @@
 	idleTimeout    time.Duration
 	// hasAllFlows is set if flows holds every flow of the backend server.
 	hasAllFlows bool
-	flows       map[flow.ID]*backendFlow
+	// hasReceivedSYN is set once a SYN was delivered to the incarnation.
+	hasReceivedSYN bool
+	flows          map[flow.ID]*backendFlow
 	// probes maps flows that the backend server may own to the balancers that have
 	// probed for them.
 	probes          map[flow.ID]netip.AddrPort
@@ -183,6 +188,14 @@
 	clear(a.probes)
 	a.runningRequests = 0
 	a.hasAllFlows = !mayHaveFlows
+	a.hasReceivedSYN = mayHaveFlows
+}
+
+// IsUnused reports whether no flow can have been placed on the incarnation yet.
+func (a *Agent) IsUnused() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.incarnation != 0 && !a.hasReceivedSYN
 }
 
 // SetState records the state that the backend server has reported.
@@ -231,6 +244,7 @@
 	a.trackCaller(now, f, s)
 	switch {
 	case s.OpensFlow():
+		a.hasReceivedSYN = true
 		a.touchFlow(now, id).balancer = info.Balancer
 	case f == nil && len(a.probes) < maxProbes:
 		a.probes[id] = info.Balancer
@@ -258,14 +272,14 @@
 }
 
 // checkSYN checks a SYN against the newer of the balancer's and the agent's
-// configuration. While the agent has none, it relies on the balancer if that has
-// selected the current incarnation of the backend server, whose service the balancer
-// has from a view.
+// configuration. While the agent has none, it relies on the balancer, which has the
+// service of the incarnation from a view.
 func (a *Agent) checkSYN(info ForwardInfo, s *Segment) Refusal {
-	isSelected := a.isConfigMissing && info.Incarnation != 0 && info.Incarnation == a.incarnation
 	switch {
-	case !isSelected && (a.service == 0 || info.Service != a.service):
+	case !a.isConfigMissing && (a.service == 0 || info.Service != a.service):
 		return RefusalWrongService
+	case a.incarnation == 0 || info.Incarnation != a.incarnation:
+		return RefusalOtherIncarnation
 	case a.state != BackendServing || a.isDown():
 		return RefusalNotServing
 	case !a.routedAddrs[s.Tuple.Service] && !info.ConfigVersion.Newer(a.configVersion):
--- a/core/routing/host_test.go
+++ b/core/routing/host_test.go
@@ -31,7 +31,7 @@
 // number. That of newAgent has number 5.
 func forwardInfo(configNumber uint64) ForwardInfo {
 	return ForwardInfo{
-		Service: testService, ConfigVersion: view.Version{Epoch: 1, Number: configNumber},
+		Service: testService, ConfigVersion: view.Version{Epoch: 1, Number: configNumber}, Incarnation: testIncarnation,
 		Balancer: netip.MustParseAddrPort("10.0.1.1:7000"),
 	}
 }
@@ -44,8 +44,9 @@
 func TestSYNIsCheckedAgainstNewerConfiguration(t *testing.T) {
 	unrouted := syn(1)
 	unrouted.Tuple.Service = netip.MustParseAddrPort("198.18.0.9:80")
-	wrongService := forwardInfo(5)
+	wrongService, wrongIncarnation := forwardInfo(5), forwardInfo(5)
 	wrongService.Service = otherService
+	wrongIncarnation.Incarnation++
 	cases := []struct {
 		name    string
 		state   BackendState
@@ -58,6 +59,7 @@
 		{"deregistered", BackendDeregistered, syn(1), forwardInfo(5), RefusalNotServing},
 		{"no state reported yet", BackendUnknown, syn(1), forwardInfo(5), RefusalNotServing},
 		{"forwarded for another service", BackendServing, syn(1), wrongService, RefusalWrongService},
+		{"forwarded for another incarnation", BackendServing, syn(1), wrongIncarnation, RefusalOtherIncarnation},
 		{"address unrouted, same configuration", BackendServing, unrouted, forwardInfo(5), RefusalNotRouted},
 		{"address unrouted, balancer's configuration older", BackendServing, unrouted, forwardInfo(4), RefusalNotRouted},
 		{"address unrouted, balancer's configuration newer", BackendServing, unrouted, forwardInfo(6), RefusalNone},
@@ -79,10 +81,12 @@
 	a.StartIncarnation(testIncarnation, false)
 	a.SetState(BackendServing)
 	current, earlier := forwardInfo(5), forwardInfo(5)
-	current.Incarnation, earlier.Incarnation = testIncarnation, testIncarnation-1
+	earlier.Incarnation = testIncarnation - 1
+	unknown := forwardInfo(5)
+	unknown.Incarnation = 0
 	is.Equal(a.Receive(testNow, syn(1), current).Refusal, RefusalNone)
-	is.Equal(a.Receive(testNow, syn(2), earlier).Refusal, RefusalWrongService)
-	is.Equal(a.Receive(testNow, syn(3), forwardInfo(5)).Refusal, RefusalWrongService) // incarnation 0
+	is.Equal(a.Receive(testNow, syn(2), earlier).Refusal, RefusalOtherIncarnation)
+	is.Equal(a.Receive(testNow, syn(3), unknown).Refusal, RefusalOtherIncarnation)
 
 	a.SetService(0, view.Version{}, nil) // the service was removed
 	is.Equal(a.Receive(testNow, syn(4), current).Refusal, RefusalWrongService)
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -31,6 +31,9 @@
 	weight     uint32
 	slots      uint16
 	acceptsNew bool
+	// epoch, firstAccepting and acceptingSince are those of the latest view that has
+	// listed the member, see view.BackendServer.
+	epoch, firstAccepting, acceptingSince uint64
 	// isGone is set if the view lists the member in state view.Gone.
 	isGone bool
 	// removedAt is when the member was removed from its view; 0 while it is listed.
@@ -41,6 +44,8 @@
 type Table struct {
 	routes  Routes
 	members map[view.ServiceID][]member
+	// bySeed indexes members.
+	bySeed map[view.ServiceID]map[uint64]*member
 	// partialViews has an entry for each service whose view was received; it is true
 	// if the view may lack members.
 	partialViews map[view.ServiceID]bool
@@ -48,12 +53,15 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{routes: Routes{}, members: map[view.ServiceID][]member{}, partialViews: map[view.ServiceID]bool{}}
+	return &Table{
+		routes: Routes{}, members: map[view.ServiceID][]member{}, bySeed: map[view.ServiceID]map[uint64]*member{},
+		partialViews: map[view.ServiceID]bool{},
+	}
 }
 
 // WithRoutes returns a copy of the table with other routes.
 func (t *Table) WithRoutes(routes Routes) *Table {
-	return &Table{routes: routes, members: t.members, partialViews: t.partialViews}
+	return &Table{routes: routes, members: t.members, bySeed: t.bySeed, partialViews: t.partialViews}
 }
 
 // WithView returns a copy of the table with the members of v. Members that v no longer
@@ -80,6 +88,7 @@
 		current = append(current, member{
 			peer: flow.PeerOf(v, i), service: v.Service, id: b.ID, zone: b.Zone,
 			weight: b.Weight, slots: max(b.Slots, 1), acceptsNew: b.AcceptsNewFlows(), isGone: b.State == view.Gone,
+			epoch: v.Version.Epoch, firstAccepting: b.FirstAccepting, acceptingSince: b.AcceptingSince,
 		})
 	}
 	for id, members := range t.members {
@@ -88,9 +97,22 @@
 		}
 	}
 	next.members[v.Service] = append(current, removedMembers(now, t.members[v.Service], current, usedAddrs)...)
+	next.bySeed = indexMembers(next.members)
 	return next
 }
 
+func indexMembers(members map[view.ServiceID][]member) map[view.ServiceID]map[uint64]*member {
+	out := make(map[view.ServiceID]map[uint64]*member, len(members))
+	for service, list := range members {
+		bySeed := make(map[uint64]*member, len(list))
+		for i := range list {
+			bySeed[list[i].peer.Seed] = &list[i]
+		}
+		out[service] = bySeed
+	}
+	return out
+}
+
 // removedMembers returns the previous members that current lacks and that may still own
 // flows.
 func removedMembers(now time.Duration, previous, current []member, usedAddrs map[netip.AddrPort]bool) []member {
@@ -230,7 +252,7 @@
 func (t *Table) searchOrder(key uint64, addr netip.AddrPort) []*member {
 	var out []*member
 	for _, service := range t.servicesToSearch(key, addr) {
-		out = append(out, t.rankMembers(key, service)...)
+		out = append(out, possibleOwners(t.rankMembers(key, service))...)
 	}
 	return out
 }
@@ -254,11 +276,5 @@
 
 // findMember returns the member with a hash seed, or nil.
 func (t *Table) findMember(service view.ServiceID, seed uint64) *member {
-	members := t.members[service]
-	for i := range members {
-		if members[i].peer.Seed == seed {
-			return &members[i]
-		}
-	}
-	return nil
+	return t.bySeed[service][seed]
 }
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -85,6 +85,13 @@
 	Weight uint32 `cbor:"7,keyasint"`
 	// Slots is the number of requests that the backend server runs concurrently.
 	Slots uint16 `cbor:"8,keyasint"`
+	// FirstAccepting is the number of the first view that placed new flows on this
+	// incarnation. It is 0 if views of an earlier epoch may have done so.
+	FirstAccepting uint64 `cbor:"9,keyasint,omitempty"`
+	// AcceptingSince is the number of the view since which all views of the epoch
+	// place new flows on the backend server, in whatever incarnation. It is 0 if this
+	// view does not.
+	AcceptingSince uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // AcceptsNewFlows reports whether new flows may be placed on b.
@@ -252,6 +259,9 @@
 	BackendTracksFlows bool `cbor:"15,keyasint,omitempty"`
 	// BackendDown is set if the backend server is down and its flows are lost.
 	BackendDown bool `cbor:"16,keyasint,omitempty"`
+	// Unlisted is set while no view can have listed this incarnation, so that no flow
+	// was placed on it.
+	Unlisted bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Load is the load by which agents place new flows: the number of flows that an agent
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -68,6 +68,9 @@
 	// announcementCount is the number of announcements since the latest report of the
 	// backend server.
 	announcementCount uint64
+	// isAnnounced is set once control has accepted an announcement of the backend
+	// server's incarnation.
+	isAnnounced bool
 	// unsubscribe cancels the subscription to the service's configuration.
 	unsubscribe context.CancelFunc
 }
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -54,8 +54,9 @@
 // startIncarnation starts a new incarnation of the backend server. The caller holds
 // the lock.
 func (a *Agent) startIncarnation(r BackendReport) {
-	mayHaveFlows := a.report.Incarnation == 0 && r.Sequence > 1
+	mayHaveFlows := a.report.Incarnation == 0 && !r.startedAfter(a.started)
 	a.steer.StartIncarnation(view.Incarnation(r.Incarnation), mayHaveFlows)
+	a.isAnnounced = false
 	if r.Service != a.options.Service {
 		a.options.Log.Warn("Backend server reported a different service; subscribing to it.", zap.String("service", r.Service), zap.String("before", a.options.Service))
 		a.options.Service, a.service = r.Service, 0
@@ -102,10 +103,20 @@
 func (a *Agent) runAnnouncements(ctx context.Context) {
 	announce.Run(ctx, announce.Options{
 		Name: a.options.Name, Control: a.options.ControlAddrs, Pool: a.pool, Retry: a.options.Retry,
-		Next: a.nextAnnouncement, Changed: a.announceNow, Log: a.options.Log,
+		Next: a.nextAnnouncement, Answered: a.handleAnnounceReply, Changed: a.announceNow, Log: a.options.Log,
 	})
 }
 
+// handleAnnounceReply records that control has accepted an announcement, so that views
+// may list the incarnation.
+func (a *Agent) handleAnnounceReply(announcement view.Announcement, reply proto.AnnounceReply) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if reply.Accepted && announcement.Incarnation == view.Incarnation(a.report.Incarnation) {
+		a.isAnnounced = true
+	}
+}
+
 // nextAnnouncement returns the next announcement to control, or false before the
 // backend server's first report. The report's sequence number forms the high bits
 // of the announcement's, so that it increases across restarts of the agent.
@@ -123,5 +134,6 @@
 		Incarnation: view.Incarnation(a.report.Incarnation), Packets: a.conn.Addr(), Requests: a.conn.Addr(),
 		Slots: a.report.Slots, Draining: a.report.Draining || isDown, Healthy: !isDown,
 		Sequence: a.report.Sequence<<announcementBits + a.announcementCount, Load: load.RunningRequests, Flows: load.Flows, BackendTracksFlows: true, BackendDown: isDown,
+		Unlisted: !a.isAnnounced && a.steer.IsUnused(),
 	}, true
 }
--- a/internal/segment/doc.go
+++ b/internal/segment/doc.go
@@ -66,6 +66,9 @@
 	Address netip.AddrPort
 	// Incarnation increases with every start of the backend server.
 	Incarnation uint64 `json:"Run"`
+	// StartedAt is when the backend server started by its VM's clock; zero if it is not
+	// reported.
+	StartedAt time.Time
 	// Sequence increases with every report of one incarnation.
 	Sequence uint64
 	// Slots is the number of requests that it runs concurrently.
