Take views for complete after a restart of the whole fleet

Two registered agents did not come back with the power (their VMs were being removed), so views stayed partial until 42.0, two leases after the leader came, and a search that nobody answered ended in a drop: callers waited out their deadlines on lost flows for six seconds. Change: views are complete once three quarters of the registered agents have announced themselves and none of their backend servers can have been listed before this epoch: the fleet has restarted, and flows of agents that will not come back are as lost as all others. One survivor is enough for the old rule. Tests: TestViewIsCompleteAfterRestartOfTheFleet (first row failed before), TestViewBecomesCompleteWithMostOfARestartedFleet.

--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -34,6 +34,9 @@
 	isLeading    bool
 	stats        Stats
 	registered   *registeredAgents // nil without durable registrations
+	// hasSurvivors is set once a member is known that views of an earlier epoch may have
+	// listed.
+	hasSurvivors bool
 	// weightFunc returns the full weight of a member. Nil means view.FullWeight.
 	weightFunc func(a *view.Announcement) uint32
 }
@@ -79,6 +82,7 @@
 	r.epoch, r.viewNumber, r.isLeading = epoch, 0, true
 	r.collectUntil = now + r.options.CollectionPeriod
 	r.partialUntil = now + partialPeriodLeases*r.options.LeaseDuration
+	r.hasSurvivors = len(r.members) > 0
 	for _, m := range r.members {
 		m.wasListed, m.firstAccepting, m.acceptingSince = true, 0, 0
 	}
@@ -111,6 +115,7 @@
 			m.phase = view.Ready
 		}
 		s.members[b.ID], r.members[b.ID] = m, m
+		r.hasSurvivors = true
 	}
 	if s.currentView == nil || v.Version.Newer(s.currentView.Version) {
 		s.recordPlacement(now, s.currentView, &r.options)
@@ -150,6 +155,7 @@
 		m.phase = view.Warming
 	}
 	r.renewLease(now, m, a)
+	r.hasSurvivors = r.hasSurvivors || m.wasListed
 	r.recordAnnounced(a.Packets)
 	return nil
 }
--- a/core/lease/seats.go
+++ b/core/lease/seats.go
@@ -94,8 +94,9 @@
 	if r.registered == nil || !r.registered.unannounced[addr] {
 		return
 	}
+	hadMost := r.mostAnnounced()
 	delete(r.registered.unannounced, addr)
-	if len(r.registered.unannounced) == 0 {
+	if len(r.registered.unannounced) == 0 || !hadMost && r.mostAnnounced() {
 		r.markAllDirty()
 	}
 }
@@ -124,7 +125,13 @@
 }
 
 // viewsPartial reports whether views may lack members that have not announced
-// themselves in this epoch.
+// themselves in this epoch and that own flows.
 func (r *Registry) viewsPartial(now time.Duration) bool {
-	return now < r.partialUntil && !r.allAnnounced()
+	return now < r.partialUntil && !r.allAnnounced() && !r.fleetRestarted()
 }
+
+// fleetRestarted reports whether every backend server has started anew, as far as most
+// agents have announced themselves. It answers the load after a loss of power: the
+// flows from before are lost with the backend servers, also those of agents that will
+// not come back, and callers that learn it at once can open new ones.
+func (r *Registry) fleetRestarted() bool { return r.mostAnnounced() && !r.hasSurvivors }
--- a/core/lease/seats_test.go
+++ b/core/lease/seats_test.go
@@ -206,3 +206,54 @@
 		is.Equal(n.first, uint64(0)) // views of the earlier epoch have listed all
 	}
 }
+
+// After a loss of power some registered agents do not come back. Their flows are lost
+// like all others if every backend server that is back has started anew.
+func TestViewIsCompleteAfterRestartOfTheFleet(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		announced   int
+		survivor    int // the agent whose backend server an earlier view may have listed
+		wantPartial bool
+	}{
+		{"all restarted", 7, 0, false},
+		{"one survived", 7, 4, true},
+		{"too few are back", 5, 0, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var agents []netip.AddrPort
+			for n := range 8 {
+				agents = append(agents, agentAddr(n+1))
+			}
+			r := newLeadingRegistry(agents...)
+			for n := 1; n <= tt.announced; n++ {
+				is.NoErr(r.Announce(0, 1, view.Announcement{
+					ID: fmt.Sprint("host-", n), Incarnation: 2, Packets: agentAddr(n), Healthy: true, BackendTracksFlows: true,
+					Slots: 4, Sequence: 1, Unlisted: n != tt.survivor,
+				}))
+			}
+			views := r.Tick(collectionPeriod)
+			is.Equal(len(views), 1)
+			is.Equal(views[0].Partial, tt.wantPartial)
+		})
+	}
+}
+
+func TestViewBecomesCompleteWithMostOfARestartedFleet(t *testing.T) {
+	is := is.New(t)
+	r := newLeadingRegistry(agentAddr(1), agentAddr(2), agentAddr(3), agentAddr(4))
+	announce := func(now time.Duration, n int) {
+		is.NoErr(r.Announce(now, 1, view.Announcement{
+			ID: fmt.Sprint("host-", n), Incarnation: 2, Packets: agentAddr(n), Healthy: true, BackendTracksFlows: true,
+			Slots: 4, Sequence: 1, Unlisted: true,
+		}))
+	}
+	announce(0, 1)
+	announce(0, 2)
+	is.True(r.Tick(collectionPeriod)[0].Partial)
+	announce(collectionPeriod, 3)
+	views := r.Tick(collectionPeriod)
+	is.Equal(len(views), 1)
+	is.True(!views[0].Partial)
+}
