Count late answers of a search, and expire unanswered probes

Tests: TestLateAnswersCompleteSearch, TestUnansweredProbesExpire, TestCachedFlowsAreCountedOnce failed before. Conclusion: mended.

--- a/core/routing/balancer_test.go
+++ b/core/routing/balancer_test.go
@@ -368,3 +368,80 @@
 	}
 	is.Equal(b.Steer(testNow, retransmitted).Verdict, Forward)
 }
+
+// A reset in answer to an RST would be answered in turn, without an end.
+func TestRSTOfCallerIsNeverReset(t *testing.T) {
+	is := is.New(t)
+	rst := data(1)
+	rst.Flags = RST | ACK
+	_, last := returnFromAll(newBalancer(servers(1, 3)...), rst)
+	is.Equal(last, Decision{Verdict: Drop, Reason: ReasonFlowNotFound})
+	unrouted := data(1)
+	unrouted.Tuple.Service, unrouted.Flags = netip.MustParseAddrPort("198.18.0.9:80"), RST
+	is.Equal(newBalancer(server(1)).Steer(testNow, unrouted), Decision{Verdict: Drop, Reason: ReasonNoRoute})
+	b := newBalancer(server(1))
+	owner := b.Steer(testNow, rst)
+	down := b.HandleReturn(testNow, rst, ReturnInfo{Service: testService, Seed: owner.To.Seed, BackendDown: true})
+	is.Equal(down.Verdict, Drop)
+}
+
+func TestNewFlowTriesMaxPlacementAttempts(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 12)...)
+	d := b.Steer(testNow, syn(1))
+	attempts := 0
+	for d.Verdict == Forward {
+		attempts++
+		is.True(attempts <= maxPlacementAttempts)
+		d = b.HandleReturn(testNow, syn(1), ReturnInfo{Service: testService, Seed: d.To.Seed, Hops: d.Hops})
+	}
+	is.Equal(attempts, maxPlacementAttempts)
+	is.Equal(d, Decision{Verdict: Reset, Reason: ReasonPlacementLimit})
+}
+
+// A member that answers late has answered: the caller of a lost flow gets its reset.
+func TestLateAnswersCompleteSearch(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		lateOnes int // members whose answers come after their probes have timed out
+		all      bool
+	}{{"one late", 1, true}, {"all late", 3, true}, {"one never", 1, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(servers(1, 3)...)
+			now := testNow
+			var late []Decision
+			d := b.Steer(now, data(1))
+			for d.Verdict == Forward {
+				if len(late) < tt.lateOnes {
+					late = append(late, d)
+					now += probeTimeout + 1
+					d = b.Steer(now, data(1))
+					continue
+				}
+				d = b.HandleReturn(now, data(1), ReturnInfo{Service: testService, Seed: d.To.Seed, Hops: d.Hops})
+			}
+			is.Equal(d, Decision{Verdict: Drop, Reason: ReasonProbeTimeout})
+			is.Equal(len(b.OverdueSearches(now+probeTimeout+1)), 0) // it only waits for late answers
+			if !tt.all {
+				late = late[1:]
+			}
+			for _, l := range late {
+				d = b.HandleReturn(now, data(1), ReturnInfo{Service: testService, Seed: l.To.Seed, Hops: l.Hops})
+			}
+			is.Equal(d.Verdict == Reset, tt.all)
+			is.Equal(b.Steer(now+time.Millisecond, data(1)).Verdict, Forward) // the caller's next segment starts anew
+		})
+	}
+}
+
+func TestCachedFlowsAreCountedOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 3)...)
+	for n := range 10 {
+		b.ConfirmOwner(testNow, tuple(n).ID(), testService, view.SeedOf("host-1"))
+	}
+	used := testNow + generationTime + 1 // copies the entry to the next generation
+	is.Equal(b.Steer(used, data(1)).Reason, ReasonCachedOwner)
+	is.Equal(b.CachedFlows(), 10)
+}
--- a/core/routing/host.go
+++ b/core/routing/host.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -126,14 +127,19 @@
 	// hasReceivedSYN is set once a SYN was delivered to the incarnation.
 	hasReceivedSYN bool
 	flows          map[flow.ID]*backendFlow
-	// probes maps flows that the backend server may own to the balancers that have
-	// probed for them.
-	probes          map[flow.ID]netip.AddrPort
+	// probes holds the probes for flows that the backend server may own.
+	probes          map[flow.ID]receivedProbe
 	runningRequests uint32
 	deliveries      [maxDeliveries]delivery
 	lastToken       uint32
 }
 
+// receivedProbe is a balancer's probe for a flow.
+type receivedProbe struct {
+	balancer netip.AddrPort // to notify if the backend server replies
+	at       time.Duration
+}
+
 // delivery is a segment that was delivered to the backend server.
 type delivery struct {
 	token       uint32
@@ -152,7 +158,7 @@
 func NewAgent(now time.Duration, o AgentOptions) *Agent {
 	return &Agent{
 		silenceTimeout: o.SilenceTimeout, idleTimeout: o.IdleTimeout, startedAt: now, lastTick: now, isConfigMissing: true,
-		flows: make(map[flow.ID]*backendFlow), probes: make(map[flow.ID]netip.AddrPort), routedAddrs: make(map[netip.AddrPort]bool),
+		flows: make(map[flow.ID]*backendFlow), probes: make(map[flow.ID]receivedProbe), routedAddrs: make(map[netip.AddrPort]bool),
 	}
 }
 
@@ -247,7 +253,7 @@
 		a.hasReceivedSYN = true
 		a.touchFlow(now, id).balancer = info.Balancer
 	case f == nil && len(a.probes) < maxProbes:
-		a.probes[id] = info.Balancer
+		a.probes[id] = receivedProbe{balancer: info.Balancer, at: now}
 	}
 	return AgentDecision{Token: a.recordDelivery(info), NotifyBalancer: notify}
 }
@@ -390,13 +396,13 @@
 		a.setRunning(f, true) // the caller's request is about to arrive
 		return f.balancer
 	}
-	notify = a.probes[id]
+	notify = a.probes[id].balancer
 	delete(a.probes, id)
 	return notify
 }
 
-// Tick advances the backend server's silence and removes closed and idle flows. It
-// reports whether the silence timeout has just expired.
+// Tick advances the backend server's silence and removes closed and idle flows and
+// unanswered probes. It reports whether the silence timeout has just expired.
 func (a *Agent) Tick(now time.Duration) (wentDown bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -412,5 +418,6 @@
 			a.removeFlow(id)
 		}
 	}
+	maps.DeleteFunc(a.probes, func(_ flow.ID, p receivedProbe) bool { return now-p.at > searchTTL })
 	return a.isDown() && !wasDown
 }
--- a/core/routing/host_test.go
+++ b/core/routing/host_test.go
@@ -200,3 +200,20 @@
 	a.StartIncarnation(testIncarnation+1, false) // a new incarnation owns no flows
 	is.Equal(a.Load(), Load{})
 }
+
+// Probes for flows that the backend server does not answer must not use up the record of
+// probes, or no balancer would learn of owners any more.
+func TestUnansweredProbesExpire(t *testing.T) {
+	is := is.New(t)
+	a := newAgent(BackendServing, false)
+	for n := range maxProbes {
+		s := data(n)
+		s.Tuple.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 65, byte(n >> 8), byte(n)}), 9)
+		is.Equal(a.Receive(0, s, forwardInfo(5)).Refusal, RefusalNone)
+	}
+	later := searchTTL + time.Second
+	a.SetState(BackendServing)
+	a.Tick(later)
+	a.Receive(later, data(1), forwardInfo(5))
+	is.Equal(a.ObserveReply(later, reply(1, ACK, 10)), forwardInfo(5).Balancer)
+}
--- a/core/routing/owners.go
+++ b/core/routing/owners.go
@@ -91,14 +91,18 @@
 	s.previous, s.current, s.rotatedAt = s.current, make(map[flow.ID]owner), now
 }
 
-// count returns the number of cached owners. A flow that is in both generations counts
-// twice.
+// count returns the number of flows whose owner is cached.
 func (o *ownerCache) count() int {
 	n := 0
 	for i := range o.shards {
 		s := &o.shards[i]
 		s.mu.Lock()
-		n += len(s.current) + len(s.previous)
+		n += len(s.current)
+		for id := range s.previous {
+			if _, copied := s.current[id]; !copied {
+				n++
+			}
+		}
 		s.mu.Unlock()
 	}
 	return n
--- a/core/routing/searches.go
+++ b/core/routing/searches.go
@@ -24,15 +24,44 @@
 
 // search is the state of the search for the owner of one flow.
 type search struct {
-	// probed are the seeds of the probed members. The probe of the last one is pending.
-	probed   []uint64
-	probedAt time.Duration
-	// timedOut is set if a probe was not answered in time.
-	timedOut bool
+	// probes are the probes in the order of sending. Each is sent once the one before
+	// was answered or has timed out.
+	probes   []probe
+	probedAt time.Duration // time of the last probe
+	// isExhausted is set once every member was probed. The search then only waits for
+	// late answers.
+	isExhausted bool
 }
 
-// pendingProbe returns the seed of the member whose answer is pending.
-func (s *search) pendingProbe() uint64 { return s.probed[len(s.probed)-1] }
+// probe is a segment forwarded to a member that may own its flow.
+type probe struct {
+	seed       uint64
+	isAnswered bool
+}
+
+// pendingProbe returns the last probe if it has no answer yet, else nil.
+func (s *search) pendingProbe() *probe {
+	if len(s.probes) == 0 || s.probes[len(s.probes)-1].isAnswered {
+		return nil
+	}
+	return &s.probes[len(s.probes)-1]
+}
+
+// indexOf returns the index of a member's probe, or -1.
+func (s *search) indexOf(seed uint64) int {
+	return slices.IndexFunc(s.probes, func(p probe) bool { return p.seed == seed })
+}
+
+// recordAnswer records that a member has returned a segment.
+func (s *search) recordAnswer(seed uint64) {
+	if i := s.indexOf(seed); i >= 0 {
+		s.probes[i].isAnswered = true
+	}
+}
+
+func (s *search) allAnswered() bool {
+	return !slices.ContainsFunc(s.probes, func(p probe) bool { return !p.isAnswered })
+}
 
 // searchTable holds the searches in progress.
 type searchTable struct {
@@ -66,36 +95,37 @@
 // nextStep selects the member to forward a segment of the flow to. returnedBy is the
 // seed of the member that has just returned the segment, or 0 for a segment from the
 // caller. While an answer is pending, segments from the caller follow the pending probe.
+// A segment from the caller starts a search that was exhausted anew.
 func (s *searchTable) nextStep(now time.Duration, id flow.ID, members []*member, returnedBy uint64) searchStep {
 	shard := &s.shards[id.Key%shardCount]
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	entry := shard.byFlow[id]
-	if entry == nil || now-entry.probedAt > searchTTL {
+	if entry == nil || now-entry.probedAt > searchTTL || entry.isExhausted && returnedBy == 0 {
 		entry = &search{}
 		shard.put(now, id, entry)
 	}
+	entry.recordAnswer(returnedBy)
 	var out searchStep
-	if len(entry.probed) > 0 {
-		current := memberWithSeed(members, entry.pendingProbe())
-		late := now-entry.probedAt > probeTimeout
-		if entry.pendingProbe() != returnedBy && !late && current != nil {
-			return searchStep{member: current, hops: uint8(len(entry.probed) - 1)}
-		}
-		if entry.pendingProbe() != returnedBy {
-			entry.timedOut, out.unresponsive = true, current
+	if pending := entry.pendingProbe(); pending != nil && !entry.isExhausted {
+		current := memberWithSeed(members, pending.seed)
+		if current != nil && now-entry.probedAt <= probeTimeout {
+			return searchStep{member: current, hops: uint8(len(entry.probes) - 1)}
 		}
+		out.unresponsive = current
 	}
 	for _, m := range members {
-		if slices.Contains(entry.probed, m.peer.Seed) {
+		if entry.indexOf(m.peer.Seed) >= 0 {
 			continue
 		}
-		entry.probed, entry.probedAt = append(entry.probed, m.peer.Seed), now
-		out.member, out.hops = m, uint8(len(entry.probed)-1)
+		entry.probes, entry.probedAt = append(entry.probes, probe{seed: m.peer.Seed}), now
+		out.member, out.hops = m, uint8(len(entry.probes)-1)
 		return out
 	}
-	delete(shard.byFlow, id)
-	out.allAnswered = !entry.timedOut
+	entry.isExhausted = true
+	if out.allAnswered = entry.allAnswered(); out.allAnswered {
+		delete(shard.byFlow, id)
+	}
 	return out
 }
 
@@ -110,7 +140,7 @@
 			switch waited := now - entry.probedAt; {
 			case waited > searchTTL:
 				delete(shard.byFlow, id)
-			case waited > probeTimeout && len(out) < maxOverdue:
+			case waited > probeTimeout && !entry.isExhausted && len(out) < maxOverdue:
 				out = append(out, id)
 			}
 		}
