Bound what unresponsive holders, old keys and cancelled requests leave behind

A holder of pointers that never acknowledges got every pointer queued again at each refresh, without a bound; a class whose queue was emptied by cancelled requests was listed once more with each that followed; expired idempotency keys waited behind a younger key that was stored before them, and new claims were refused for want of room. Change: the pusher keeps the set of pointers pending at a holder, whose next incarnation gets them at once; a class is listed once; keys expire in the order of their own times. Conclusion: mended.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -9,6 +9,7 @@
 package admission
 
 import (
+	"slices"
 	"math"
 	"time"
 )
@@ -100,8 +101,7 @@
 	classes     []classState
 	totalShares int
 	// queuedClasses are the classes with queued requests, in the order in which
-	// their queues became nonempty. Some of the queues may be empty again, and
-	// a class whose queue was empty in between may occur twice.
+	// their queues became nonempty. Some of the queues may be empty again.
 	queuedClasses []int
 	admitted      map[uint64]admittedRequest
 	decisions     []Decision
@@ -172,7 +172,8 @@
 		return l.decisions
 	}
 	if len(c.queue) == 0 {
-		l.queuedClasses = append(l.queuedClasses, r.Class)
+		isThisClass := func(class int) bool { return class == r.Class }
+		l.queuedClasses = append(slices.DeleteFunc(l.queuedClasses, isThisClass), r.Class)
 	}
 	c.queue = append(c.queue, queuedRequest{id: r.ID, expires: now.Add(maxWait)})
 	l.decisions = append(l.decisions, Decision{ID: r.ID, Verdict: Queue})
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -82,6 +82,22 @@
 	is.Equal(l.SetSlots(t0.Add(101*time.Millisecond), 5), []Decision{{ID: 7, Verdict: Admit}})
 }
 
+// While no slot becomes free, callers queue and leave again. That must not make the
+// limiter grow.
+func TestCancelledRequestsLeaveNoTrace(t *testing.T) {
+	is := is.New(t)
+	l := newTestLimiter()
+	for id := range uint64(4) {
+		is.Equal(acquire(l, t0, id, 0).Verdict, Admit)
+	}
+	for id := range uint64(1000) {
+		class := int(id % 2)
+		is.Equal(acquire(l, t0, 100+id, class).Verdict, Queue)
+		is.Equal(len(l.Release(t0, 100+id)), 0)
+	}
+	is.True(len(l.queuedClasses) <= len(l.classes))
+}
+
 func TestConcurrencyLimitFollowsLatency(t *testing.T) {
 	is := is.New(t)
 	c := NewConcurrencyLimit(ConcurrencyLimitOptions{Min: 1, Max: 4, MaxLatencyRatio: 2, SampleWindow: 4})
--- a/core/attempt/claim.go
+++ b/core/attempt/claim.go
@@ -164,14 +164,14 @@
 type Claims struct {
 	cfg ClaimsConfig
 	// historyStart is the time since which every view is in previous or current.
-	historyStart   time.Time
-	startedAt      time.Time
-	confirmedAt    time.Time
-	current        *replicaSelector
-	previous       []supersededView
-	slots          map[string]*slot
-	insertionOrder []string // keys in the order in which their slots were added
-	ops            map[string]*operation
+	historyStart time.Time
+	startedAt    time.Time
+	confirmedAt  time.Time
+	current      *replicaSelector
+	previous     []supersededView
+	slots        map[string]*slot
+	expiry       expiryQueue // the keys of slots
+	ops          map[string]*operation
 	// bySeq maps the sequence number of an open message to its operation.
 	bySeq   map[uint64]*operation
 	lastSeq uint64
@@ -276,12 +276,9 @@
 		n++
 	}
 	c.previous = c.previous[n:]
-	n = 0
-	for n < len(c.insertionOrder) && c.isExpired(now, c.slots[c.insertionOrder[n]].entry.KeyTime) {
-		delete(c.slots, c.insertionOrder[n])
-		n++
+	for len(c.expiry) > 0 && c.isExpired(now, c.expiry[0].time) {
+		delete(c.slots, c.expiry.pop().key)
 	}
-	c.insertionOrder = c.insertionOrder[n:]
 }
 
 // isTooOld reports whether a key with this time is rejected for its age.
@@ -305,7 +302,7 @@
 	}
 	s = &slot{entry: Entry{Key: key, KeyTime: keyTime}}
 	c.slots[key] = s
-	c.insertionOrder = append(c.insertionOrder, key)
+	c.expiry.push(timedKey{time: keyTime, key: key})
 	return s
 }
 
--- a/core/attempt/claim_test.go
+++ b/core/attempt/claim_test.go
@@ -287,3 +287,24 @@
 	is.Equal(len(claims.Tick(c.now)), 0)
 	is.Equal(claims.Tick(c.now.Add(time.Second)), []ClaimAction{ReplyClaim{RequestID: 1}})
 }
+
+// A key may be used long after it was created. Such keys expire without waiting for
+// younger ones that were stored before them.
+func TestOldKeysExpireBeforeYoungerOnes(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1)
+	claims := c.claims["s0"]
+	store := func(key string, age time.Duration) {
+		in := StoreRequest{Version: c.view.Version, To: claims.cfg.Self, Entry: Entry{Key: key, KeyTime: UnixMillisOf(c.now.Add(-age)), Revision: 1}}
+		is.True(claims.Store(c.now, in).Stored)
+	}
+	store("young", 0)
+	for i := range 7 {
+		store(fmt.Sprint("old-", i), 50*time.Minute)
+	}
+	c.now = c.now.Add(20 * time.Minute)
+	for i := range 7 {
+		store(fmt.Sprint("new-", i), 0)
+	}
+	is.Equal(claims.Len(), 8)
+}
--- a/core/locator/locator.go
+++ b/core/locator/locator.go
@@ -118,6 +118,9 @@
 	peer    flow.Peer
 	queued  []flow.ID
 	unacked []unackedBatch
+	// pending holds the flows in queued and unacked. A holder that never acknowledges
+	// collects each pointer once.
+	pending map[flow.ID]struct{}
 }
 
 type unackedBatch struct {
@@ -207,16 +210,38 @@
 			delete(p.holders, seed)
 			continue
 		}
-		h.peer = flow.PeerOf(p.view, i)
+		next := flow.PeerOf(p.view, i)
+		if next.Incarnation != h.peer.Incarnation {
+			h.resendAll(p.options.RetryDelay)
+		}
+		h.peer = next
+	}
+}
+
+// resendAll makes all batches due for a new incarnation of the holder.
+func (h *holder) resendAll(retryDelay time.Duration) {
+	for i := range h.unacked {
+		h.unacked[i].resendAt, h.unacked[i].retryDelay = 0, retryDelay
+	}
+}
+
+// forget removes flows from pending.
+func (h *holder) forget(ids ...flow.ID) {
+	for _, id := range ids {
+		delete(h.pending, id)
 	}
 }
 
 func (p *Pusher) enqueue(to flow.Peer, id flow.ID) {
 	h := p.holders[to.Seed]
 	if h == nil {
-		h = &holder{peer: to}
+		h = &holder{peer: to, pending: make(map[flow.ID]struct{})}
 		p.holders[to.Seed] = h
 	}
+	if _, isPending := h.pending[id]; isPending {
+		return
+	}
+	h.pending[id] = struct{}{}
 	h.queued = append(h.queued, id)
 }
 
@@ -261,6 +286,7 @@
 	h.unacked = slices.DeleteFunc(h.unacked, func(b unackedBatch) bool {
 		if b.sequence == a.Sequence {
 			p.stats.Acked++
+			h.forget(b.flows...)
 			return true
 		}
 		return false
@@ -326,7 +352,13 @@
 		if now < b.resendAt || len(out) >= limit {
 			continue
 		}
-		b.flows = slices.DeleteFunc(b.flows, func(id flow.ID) bool { return !p.options.Flows.Owns(id) })
+		b.flows = slices.DeleteFunc(b.flows, func(id flow.ID) bool {
+			if p.options.Flows.Owns(id) {
+				return false
+			}
+			h.forget(id)
+			return true
+		})
 		b.retryDelay = min(2*b.retryDelay, p.options.MaxRetryDelay)
 		b.resendAt = now + b.retryDelay
 		if len(b.flows) > 0 {
