Hand over state of any size, and finish a handover whose release is late

Cause: three faults of internal/handover seen by reading. A balancer's state above 128 KiB, one item of one message, failed the handover; the predecessor's deadline for its pause also held for its last message, so that a release at the end of it left a successor that gave up and a predecessor that had closed its sockets; a balancer that could not start kept the sockets that it had inherited. Change: bodies are sent in fragments of 64 KiB and joined by the successor (an older successor that gets a state of several fragments starts without it, as it did before when the handover failed). The last message has a deadline of its own, and the successor waits for it longer than the predecessor may need. Start closes what it was given if it fails. Tests: TestSuccessorReceivesSocketsStateAndQueuedDatagrams with a state of 640 KiB and TestLateReleaseCompletesHandover failed before. Conclusion: mended.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -9,8 +9,8 @@
 package admission
 
 import (
-	"slices"
 	"math"
+	"slices"
 	"time"
 )
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -51,6 +52,11 @@
 		predecessor.bundle = append(predecessor.bundle, Item{Role: "agent", Name: "host", Kind: "flow", Body: fmt.Append(nil, i), Socket: conn})
 	}
 	predecessor.bundle = append(predecessor.bundle, Item{Role: "agent", Name: "other", Kind: "state", Body: make([]byte, maxBodyBytes)})
+	long := make([]byte, 5*maxMessageBytes+1)
+	for i := range long {
+		long[i] = byte(i * i >> 3)
+	}
+	predecessor.bundle = append(predecessor.bundle, Item{Role: "balancer", Name: "b", Kind: "state", Body: long, Socket: listenUDP(t)})
 	s, err := Listen(path, predecessor, zap.NewNop())
 	is.NoErr(err)
 
@@ -66,8 +72,10 @@
 	}
 	own, rest := bundle.Split("agent", "host")
 	is.Equal(len(own), sockets)
-	is.Equal(len(rest), 1)
+	is.Equal(len(rest), 2)
 	is.Equal(len(rest[0].Body), maxBodyBytes)
+	is.Equal(rest[1].Body, long) // exceeds the length of a message
+	is.True(rest[1].Socket != nil)
 	buf := make([]byte, 32)
 	for i, item := range own {
 		is.Equal(string(item.Body), fmt.Sprint(i))
@@ -132,3 +140,33 @@
 	is.NoErr(err)
 	is.Equal(len(bundle), 0)
 }
+
+// The successor serves once it has confirmed, so it must learn of the release even if the
+// time for the pause is over by then.
+func TestLateReleaseCompletesHandover(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "handover")
+	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		conn, err := l.AcceptUnix()
+		if err != nil {
+			return
+		}
+		p := &lateRelease{conn: conn}
+		_ = (&Server{predecessor: p, log: zap.NewNop()}).handOver(conn)
+	}()
+	bundle, err := Receive(path)
+	is.NoErr(err)
+	is.Equal(len(bundle), 1)
+}
+
+// lateRelease is a Predecessor that needs the rest of the time for its release.
+type lateRelease struct {
+	fakePredecessor
+	conn *net.UnixConn
+}
+
+func (p *lateRelease) Pause() (Bundle, error) { return Bundle{{Role: "balancer", Kind: "state"}}, nil }
+func (p *lateRelease) Release()               { _ = p.conn.SetDeadline(time.Unix(1, 0)) }
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -87,20 +87,23 @@
 		return err
 	}
 	s.predecessor.Release()
-	// An error is ignored: the successor has confirmed, so the handover is
-	// complete even if it has exited since.
+	// The deadline applies to the pause, which is over. Errors are ignored: the
+	// successor has confirmed, so the handover is complete even if it has exited
+	// since.
+	_ = conn.SetDeadline(time.Now().Add(handoverTimeout))
 	_ = sendMessage(conn, message{Confirmed: true}, nil)
 	return nil
 }
 
 // sendBundle sends a bundle and waits for the successor's confirmation.
 func sendBundle(conn *net.UnixConn, bundle Bundle) error {
-	for len(bundle) > 0 {
-		n := batchLength(bundle)
-		if err := sendMessage(conn, message{Items: itemHeaders(bundle[:n])}, bundle[:n]); err != nil {
+	fragments := split(bundle)
+	for len(fragments) > 0 {
+		n := batchLength(fragments)
+		if err := sendMessage(conn, message{Items: itemHeaders(fragments[:n])}, itemsOf(fragments[:n])); err != nil {
 			return err
 		}
-		bundle = bundle[n:]
+		fragments = fragments[n:]
 	}
 	if err := sendMessage(conn, message{Last: true}, nil); err != nil {
 		return err
@@ -115,27 +118,3 @@
 	}
 	return nil
 }
-
-// batchLength returns the number of leading items that fit into one message, at
-// least one.
-func batchLength(bundle Bundle) int {
-	size := 0
-	for i, item := range bundle {
-		size += len(item.Body)
-		if i > 0 && (i == maxItems || size > maxBodyBytes) {
-			return i
-		}
-	}
-	return len(bundle)
-}
-
-func itemHeaders(items Bundle) []itemHeader {
-	out := make([]itemHeader, len(items))
-	for i, item := range items {
-		out[i] = itemHeader{
-			Role: item.Role, Name: item.Name, Kind: item.Kind, Body: item.Body,
-			HasSocket: item.Socket != nil,
-		}
-	}
-	return out
-}
--- a/internal/handover/take.go
+++ b/internal/handover/take.go
@@ -34,28 +34,38 @@
 // receiveBundle receives a bundle and confirms it. With an error, it returns the
 // items received so far, for the caller to close.
 func receiveBundle(conn *net.UnixConn) (Bundle, error) {
-	var bundle Bundle
+	var received joiner
 	buf := make([]byte, maxMessageBytes)
 	for {
 		m, items, err := receiveMessage(conn, buf)
 		if err != nil {
-			return bundle, err
+			return received.bundle, err
 		}
-		bundle = append(bundle, items...)
+		received.add(m.Items, items)
 		if m.Last {
 			break
 		}
 	}
 	if err := sendMessage(conn, message{Confirmed: true}, nil); err != nil {
-		return bundle, err
+		return received.bundle, err
+	}
+	return received.bundle, awaitRelease(conn, buf)
+}
+
+// awaitRelease waits for the predecessor's confirmation that it has released its
+// sockets. The wait is longer than that of the predecessor, which closes the connection
+// if it resumes serving: if both gave up at the same time, neither would serve.
+func awaitRelease(conn *net.UnixConn, buf []byte) error {
+	if err := conn.SetDeadline(time.Now().Add(2 * handoverTimeout)); err != nil {
+		return Failed.Wrap(err, "set the deadline")
 	}
 	m, extra, err := receiveMessage(conn, buf)
 	extra.Close()
 	if err != nil {
-		return bundle, err
+		return err
 	}
 	if !m.Confirmed {
-		return bundle, Failed.New("predecessor's message is no confirmation of its release")
+		return Failed.New("predecessor's message is no confirmation of its release")
 	}
-	return bundle, nil
+	return nil
 }
--- a/internal/handover/wire.go
+++ b/internal/handover/wire.go
@@ -33,13 +33,15 @@
 	Kind      string `cbor:"3,keyasint"`
 	Body      []byte `cbor:"4,keyasint,omitempty"`
 	HasSocket bool   `cbor:"5,keyasint,omitempty"`
+	// Continues is set if the body continues in the next item.
+	Continues bool `cbor:"6,keyasint,omitempty"`
 }
 
 const (
 	// maxItems limits the items in one datagram; the kernel transfers at most 253
 	// descriptors at once.
 	maxItems = 128
-	// maxBodyBytes limits the state in a datagram of more than one item, in bytes.
+	// maxBodyBytes limits the state in a datagram, in bytes.
 	maxBodyBytes = 64 << 10
 	// maxMessageBytes is the maximum length of a datagram, and the length of a
 	// receive buffer, in bytes.
--- a/internal/role/balancer/balancer.go
+++ b/internal/role/balancer/balancer.go
@@ -102,10 +102,11 @@
 }
 
 // Start opens the envelope socket, starts the readers and subscribes to control
-// until Close.
+// until Close. It takes over the sockets of o.InheritedItems, also if it fails.
 func Start(o Options) (*Balancer, error) {
 	envelopes, err := openEnvelopes(o)
 	if err != nil {
+		o.InheritedItems.Close()
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
