Stop a replica twice, refuse a moved member, keep unsaved hard states out of memory

Cause: four faults seen by reading. A second Stop of a replica closed a closed channel and took the process down; a leader accepted a join request of a member from an address at which nobody reaches it; the disk store changed its hard state before the write that could fail; the count of non-owners in an envelope was safe only because two constants agree. Change: Stop closes once; a member whose address differs is refused and told; the hard state follows the write; the agreement is checked by the compiler. Tests: TestSingleReplicaAppliesProposals panicked, TestMemberAtAnotherAddressIsTold and TestStoreRejectsWritesAfterWriteFailure (which now saves a higher term, and checks it) failed before.

--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -111,14 +111,20 @@
 	if rd.Snapshot != nil {
 		return s.installSnapshot(rd)
 	}
+	next := s.state.HardState
 	if rd.HardState != nil {
-		s.state.HardState = *rd.HardState
+		next = *rd.HardState
 	}
 	if !rd.MustSync {
 		// Only the commit index changed: the next record includes it.
+		s.state.HardState = next
 		return nil
 	}
-	return s.appendRecord(record{HardState: &s.state.HardState, Entries: rd.Entries})
+	if err := s.appendRecord(record{HardState: &next, Entries: rd.Entries}); err != nil {
+		return err
+	}
+	s.state.HardState = next
+	return nil
 }
 
 // Compact saves a snapshot of the replica's own state and discards the entries
@@ -138,19 +144,20 @@
 // made durable first, since the next start would reject a snapshot whose term is
 // greater than the hard state's.
 func (s *Store) installSnapshot(rd quorum.Ready) error {
+	next := s.state.HardState
 	if rd.HardState != nil {
-		commit := s.state.HardState.Commit
-		s.state.HardState = *rd.HardState
-		uncommitted := s.state.HardState
-		uncommitted.Commit = commit
+		next = *rd.HardState
+		uncommitted := next
+		uncommitted.Commit = s.state.HardState.Commit
 		if err := s.appendRecord(record{HardState: &uncommitted}); err != nil {
 			return err
 		}
+		s.state.HardState = uncommitted
 	}
 	if err := s.writeSnapshot(*rd.Snapshot); err != nil {
 		return s.fail(err, "snapshot %d", rd.Snapshot.Index)
 	}
-	s.state.Entries = slices.Clone(rd.Entries)
+	s.state.HardState, s.state.Entries = next, slices.Clone(rd.Entries)
 	return s.rewriteLog()
 }
 
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -231,11 +231,12 @@
 			d, s := bootstrapped(is)
 			is.NoErr(s.Save(readyWithEntries(2, entry(2, 2))))
 			d.failAt, d.failOnce = d.operations+c.failAt, true // later operations succeed
-			err := s.Save(readyWithEntries(2, entry(3, 2)))
+			err := s.Save(readyWithEntries(3, entry(3, 3)))
 			is.True(errorx.IsOfType(err, ErrIO))
 			is.True(errorx.IsOfType(s.Save(readyWithEntries(2, entry(3, 2))), ErrIO)) // the failure is permanent
 			is.True(errorx.IsOfType(s.Compact(quorum.Snapshot{Index: 2}, 3), ErrIO))
 			is.True(s.Err() != nil)
+			is.Equal(s.State().HardState.Term, uint64(2)) // what was not saved is not reported as saved
 			s, err = openInMemory(d.crash(0))
 			is.NoErr(err)
 			is.Equal(len(s.State().Entries), 1)
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -250,6 +250,21 @@
 	is.True(errorx.IsOfType(err, replica.ErrStopped))
 }
 
+func TestMemberAtAnotherAddressIsTold(t *testing.T) {
+	is := is.New(t)
+	g, err := Open(Options{Name: "vm-0", ClusterName: "control", StateMachine: &commandLog{}, Now: time.Now, Log: zap.NewNop()})
+	is.NoErr(err)
+	_, err = g.Propose(context.Background(), []byte("a")) // it leads from here on
+	is.NoErr(err)
+	is.True(g.admit(context.Background(), g.self).Accepted)
+	moved := g.self
+	moved.Address = "10.0.0.9:7000"
+	response := g.admit(context.Background(), moved)
+	is.True(!response.Accepted)
+	is.True(strings.Contains(response.Reason, moved.Address))
+	is.NoErr(g.Stop(context.Background()))
+}
+
 var _ admin.Replicas = (*Group)(nil)
 
 func TestDecideBootstrap(t *testing.T) {
--- a/internal/group/keep.go
+++ b/internal/group/keep.go
@@ -129,6 +129,17 @@
 	}
 }
 
+// confirmMember answers a join request of a member. One whose address has changed, for
+// example as its disk was moved, would never be reached, so it is told.
+func (g *Group) confirmMember(member, candidate quorum.Member) replicalink.JoinResponse {
+	if member.Address != candidate.Address {
+		err := ErrRejected.New("replica %s is a member at %s and cannot join from %s; remove it first", member.ID, member.Address, candidate.Address)
+		g.options.Log.Warn("Refused a replica whose address has changed.", zap.Error(err))
+		return replicalink.JoinResponse{Reason: err.Error()}
+	}
+	return replicalink.JoinResponse{LeaderAddress: g.options.Addr.String(), Accepted: true}
+}
+
 // admit answers a join request: the leader adds the candidate, a follower returns
 // the leader's address.
 func (g *Group) admit(ctx context.Context, candidate quorum.Member) replicalink.JoinResponse {
@@ -143,8 +154,8 @@
 	if status.Role != quorum.Leader {
 		return replicalink.JoinResponse{Reason: "no leader is known"}
 	}
-	if _, isMember := status.Membership.Find(candidate.ID); isMember {
-		return replicalink.JoinResponse{LeaderAddress: g.options.Addr.String(), Accepted: true}
+	if member, isMember := status.Membership.Find(candidate.ID); isMember {
+		return g.confirmMember(member, candidate)
 	}
 	addr, err := netip.ParseAddrPort(candidate.Address)
 	if err == nil {
--- a/internal/packet/header.go
+++ b/internal/packet/header.go
@@ -63,6 +63,9 @@
 	earlierPickBits = 3
 	nonOwnerBits    = 3
 
+	// Fails to compile if a header could name more non-owners than flow.Packet holds.
+	_ = uint(flow.MaxNonOwners - (1<<nonOwnerBits - 1))
+
 	ipv4Size = 6  // bytes of an IPv4 address and port
 	ipv6Size = 18 // bytes of an IPv6 address and port
 	peerSize = 16 // bytes of an agent's seed and incarnation
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -52,6 +52,7 @@
 	inbox         chan []quorum.Message
 	loopCalls     chan func()
 	stopRequested chan struct{}
+	stopOnce      sync.Once
 	done          chan struct{}
 
 	// The fields below belong to the event loop.
@@ -142,10 +143,10 @@
 }
 
 // Stop stops the replica. If it is the leader, Stop first tries to transfer
-// leadership until ctx ends.
+// leadership until ctx ends. Further calls wait for the first one.
 func (n *Node) Stop(ctx context.Context) error {
 	n.transferOnStop(ctx)
-	close(n.stopRequested)
+	n.stopOnce.Do(func() { close(n.stopRequested) })
 	<-n.done
 	return n.Err()
 }
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -28,6 +28,7 @@
 	is.NoErr(n.Stop(context.Background()))
 	_, err := n.Propose(context.Background(), encode(1))
 	is.True(errorx.IsOfType(err, ErrStopped))
+	is.NoErr(n.Stop(context.Background())) // a second stop does no harm
 }
 
 func TestFollowerForwardsProposals(t *testing.T) {
