Give each request a connection to its backend server

Cause: reported by operators of similar systems, and shown here: agents used connections to their backend servers again for repeatable requests. A late second copy of an answer on such a connection was taken for the answer to the next request, of another caller. Change: no connection is used again. Agent and backend server are on one VM, so a connection costs no round trip of the network.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -20,37 +20,27 @@
 const (
 	dialLimit  = time.Second
 	probeLimit = time.Second
-	idleConns  = 16
-	idleLimit  = 30 * time.Second
 )
 
-// backend speaks HTTP/1.1 to the backend server.
+// backend speaks HTTP/1.1 to the backend server. Each request has a connection of its
+// own: nothing in an answer tells which request it belongs to, so on a connection that
+// is used again a late second copy of an answer would pass for the next one. A
+// connection that the server closes just as a request goes out leaves it open whether
+// the request ran.
 type backend struct {
-	addr netip.AddrPort
-	// kept reuses connections. Only repeatable requests use it: the HTTP client
-	// may send those again on its own, and a kept connection can be closed by
-	// the server just as a request goes out.
-	kept *http.Transport
-	once *http.Transport
+	addr      netip.AddrPort
+	transport *http.Transport
 }
 
 func newBackend(addr netip.AddrPort) *backend {
-	transport := func(once bool) *http.Transport {
-		return &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialLimit}).DialContext,
-			DisableCompression:  true,
-			DisableKeepAlives:   once,
-			MaxIdleConnsPerHost: idleConns,
-			IdleConnTimeout:     idleLimit,
-		}
-	}
-	return &backend{addr: addr, kept: transport(false), once: transport(true)}
+	return &backend{addr: addr, transport: &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: dialLimit}).DialContext,
+		DisableCompression: true,
+		DisableKeepAlives:  true,
+	}}
 }
 
-func (b *backend) close() {
-	b.kept.CloseIdleConnections()
-	b.once.CloseIdleConnections()
-}
+func (b *backend) close() { b.transport.CloseIdleConnections() }
 
 // reachable reports whether the backend server takes connections.
 func (b *backend) reachable(ctx context.Context) bool {
@@ -91,10 +81,6 @@
 		req.Header = make(http.Header)
 	}
 	setDeadline(ctx, req.Header)
-	transport := b.kept
-	if !open.Repeatable {
-		transport = b.once
-	}
 	if len(body) > 0 || !open.Repeatable {
 		req.Body = onceBody{bytes.NewReader(body)}
 		req.ContentLength = int64(len(body))
@@ -103,7 +89,7 @@
 		req.Header.Set("Range", "bytes="+strconv.FormatInt(open.Offset, 10)+"-")
 		req.Header.Set("If-Range", open.Validator)
 	}
-	resp, err = transport.RoundTrip(req)
+	resp, err = b.transport.RoundTrip(req)
 	if err != nil {
 		return nil, connected.Load(), Backend.Wrap(err, "%s %s", open.Method, open.URI)
 	}
