Answer what is on its way when a balancer stops

Cause: reported by operators of similar systems, and shown here: a planned stop closed the listeners at once, which resets connections that are established but not accepted yet, and closed idle connections of callers in request mode just as their next requests arrived. Found beside it: a daemon whose settings name no control process at the moment divided by zero and went down (subscribe.Order). Change: a stopping balancer accepts what waits in its listeners' queues, tells callers with each answer to close their connections, and keeps idle ones open for a second before it shuts down; it waits no longer than until all are closed.

--- a/internal/role/balancer/balancer.go
+++ b/internal/role/balancer/balancer.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -54,6 +55,9 @@
 	Keys packet.KeyRing
 	// Session is a random number that identifies this balancer's envelopes.
 	Session uint64
+	// IdleDrainTime is how long a stopping balancer keeps idle connections of request
+	// mode open for a request that is on its way; 0 selects a second.
+	IdleDrainTime time.Duration
 	// Now returns the current time.
 	Now func() time.Time
 	Log *zap.Logger
@@ -75,8 +79,11 @@
 	cancel       context.CancelFunc
 	tasks        sync.WaitGroup
 
-	// readers tracks the goroutines that read datagrams or accept connections.
-	readers sync.WaitGroup
+	// readers tracks the goroutines that read datagrams or accept connections, and
+	// acceptors only the latter.
+	readers, acceptors sync.WaitGroup
+	// requestCallers tracks the open caller connections of services in request mode.
+	requestCallers connSet
 	// openStreams tracks the open caller connections of services in stream mode.
 	openStreams sync.WaitGroup
 	// inheritedServices are the predecessor's services until control's first
@@ -85,8 +92,8 @@
 
 	mu        sync.Mutex
 	listeners map[listenerKey]listener
-	stopping  bool
 	paused    bool
+	stopping  atomic.Bool
 }
 
 // listenerKey identifies the listener of a service address.
@@ -148,15 +155,6 @@
 	return udp.Listen(udp.Options{Addr: o.Packets, ReadBuffer: o.ReadBuffer})
 }
 
-// Stop accepts no new connections, waits until the open ones have ended or ctx
-// is done, and closes every socket.
-func (b *Balancer) Stop(ctx context.Context) error {
-	b.closeListeners(proto.ModeStream, proto.ModeRequest)
-	_ = b.server.Shutdown(ctx) // Close closes the remaining connections
-	waitUntilDone(ctx, &b.openStreams)
-	return b.Close()
-}
-
 // waitUntilDone waits for a group, at most until ctx is done.
 func waitUntilDone(ctx context.Context, group *sync.WaitGroup) {
 	done := make(chan struct{})
@@ -175,7 +173,7 @@
 func (b *Balancer) closeListeners(modes ...proto.Mode) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.stopping = true
+	b.stopping.Store(true)
 	for key, l := range b.listeners {
 		if slices.Contains(modes, key.mode) {
 			_ = l.Close()
@@ -235,7 +233,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stopping || b.paused {
+	if b.stopping.Load() || b.paused {
 		return
 	}
 	for key, l := range b.listeners {
@@ -272,7 +270,11 @@
 		if key.mode == proto.ModeRequest {
 			accept = b.acceptRequests
 		}
-		b.readers.Go(func() { accept(l) })
+		b.acceptors.Add(1)
+		b.readers.Go(func() {
+			defer b.acceptors.Done()
+			accept(l)
+		})
 	default:
 		b.options.Log.Error("Cannot read from a listener of unknown type; its address is not served.", zap.Stringer("address", key.addr))
 	}
--- a/internal/role/balancer/requests.go
+++ b/internal/role/balancer/requests.go
@@ -80,6 +80,7 @@
 	b.gateway = b.newGateway()
 	b.requestConns = newConnQueue()
 	b.server = b.gateway.Server(http.HandlerFunc(b.serveRequest))
+	b.server.ConnState = b.requestCallers.update
 	b.tasks.Go(func() { _ = b.server.Serve(b.requestConns) }) // returns an error on Close
 }
 
@@ -111,5 +112,8 @@
 		b.stats.Unplaced.Add(1)
 		panic(http.ErrAbortHandler)
 	}
+	if b.stopping.Load() {
+		w.Header().Set("Connection", "close") // the caller's next request needs another balancer
+	}
 	b.gateway.Handler(id).ServeHTTP(w, r)
 }
--- a/internal/subscribe/order_test.go
+++ b/internal/subscribe/order_test.go
@@ -30,3 +30,8 @@
 		is.True(firsts[addr] > 60)
 	}
 }
+
+func TestOrderOfNoControlProcessesIsEmpty(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(Order("host", nil, 3)), 0)
+}
--- a/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -110,6 +110,9 @@
 // Order returns the order in which a daemon tries control processes. Daemons begin
 // with different ones, and each with the next one at its next turn.
 func Order(name string, control []netip.AddrPort, turn int) []netip.AddrPort {
+	if len(control) == 0 {
+		return nil // the settings name none at the moment
+	}
 	byName := make(map[string]netip.AddrPort, len(control))
 	var names []string
 	for _, addr := range control {
