--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -342,6 +342,21 @@
 	return next
 }
 
+// A backend server that an operator has drained stays drained after a restart, also if
+// it is not a member at the moment.
+func TestDrainsSurviveRestart(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	is.Equal(m.Apply(1, Command{Kind: KindDrain, BackendServer: "order-desk-3", Author: "steward"}).Outcome, OutcomeAccepted)
+	is.Equal(m.Apply(2, Command{Kind: KindDrain, BackendServer: "order-desk-4"}).Outcome, OutcomeAccepted)
+	is.Equal(m.Apply(3, Command{Kind: KindCancelDrain, BackendServer: "order-desk-4"}).Outcome, OutcomeAccepted)
+	restored, err := Restore(m.Snapshot())
+	is.NoErr(err)
+	is.Equal(restored.Drains(), m.Drains())
+	is.Equal(len(restored.Drains()), 1)
+	is.Equal(restored.Drains()[0].BackendServer, "order-desk-3")
+}
+
 func TestRestoreRejectsInvalidSnapshots(t *testing.T) {
 	is := is.New(t)
 	m := New()
--- a/internal/packet/packet_test.go
+++ b/internal/packet/packet_test.go
@@ -203,6 +203,24 @@
 	is.Equal(err, ErrUnknownKey)
 }
 
+// A successor of a process that used a key does not use it after its removal.
+func TestRemovedKeyStaysRemovedAfterRestart(t *testing.T) {
+	is := is.New(t)
+	keys := newRing()
+	s, predecessor, h := NewSealer(keys, 42), NewOpener(keys, fixedClock), header()
+	sealed, err := s.Seal(nil, &h, nil)
+	is.NoErr(err)
+	_, err = predecessor.Open(sealed, &h)
+	is.NoErr(err)
+	sealed, err = s.Seal(nil, &h, nil)
+	is.NoErr(err)
+	delete(keys.keys, 1)
+	successor := NewOpener(keys, fixedClock)
+	_ = successor.Import(predecessor.Export())
+	_, err = successor.Open(sealed, &h)
+	is.Equal(err, ErrUnknownKey)
+}
+
 func TestReplayWindow(t *testing.T) {
 	is := is.New(t)
 	var w window
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -65,7 +65,7 @@
 	s, err := Listen(ServerOptions{
 		Addr:     netip.MustParseAddrPort("127.0.0.1:0"),
 		TLS:      identity(t, set, "server", keys.Control).ServerTLSFor([]keys.Role{keys.Agent}, Protocol),
-		Handlers: map[string]Handler{echoKind: echo},
+		Handlers: map[string]Handler{echoKind: echo, faultyKind: faulty},
 		Silence:  silence,
 		Log:      zap.NewNop(),
 	})
@@ -76,6 +76,15 @@
 	return s
 }
 
+// faultyKind is the kind of a stream whose handler does not cope with any message.
+const faultyKind = "faulty"
+
+func faulty(_ context.Context, _ keys.Info, s *Stream) {
+	var in *note
+	_ = s.Recv(&note{})
+	_ = in.Text
+}
+
 func pool(t *testing.T, id *keys.Identity) *Pool {
 	t.Helper()
 	p := NewPool(func() *tls.Config { return id.ClientTLSFor("", []keys.Role{keys.Control}, Protocol) })
@@ -165,6 +174,25 @@
 	})
 }
 
+// A message that its handler cannot cope with ends its own stream and nothing else.
+func TestFaultOfOneStreamLeavesTheOthers(t *testing.T) {
+	is := is.New(t)
+	set := newSet(t)
+	server := serve(t, set, 0)
+	p := pool(t, identity(t, set, "host-1", keys.Agent))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for range 3 {
+		s, err := p.Open(ctx, server.Addr(), faultyKind)
+		is.NoErr(err)
+		is.NoErr(s.Send(note{Text: "anything"}))
+		var answer note
+		is.True(s.Recv(&answer) != nil)
+		_, err = exchange(ctx, p, server.Addr())
+		is.NoErr(err)
+	}
+}
+
 func TestSilentConnectionIsReplacedFromANewPort(t *testing.T) {
 	const silence = 500 * time.Millisecond
 	is := is.New(t)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
 
+	"fulmarmount.org/fulmarmount/internal/guard"
 	"fulmarmount.org/fulmarmount/internal/keys"
 )
 
@@ -109,6 +110,9 @@
 		stream.CancelWrite(refusedCode)
 		return
 	}
-	handler(ctx, from, stream)
+	if !guard.Run(s.options.Log, func() { handler(ctx, from, stream) }) {
+		stream.Abort()
+		return
+	}
 	_ = stream.Close()
 }
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -18,6 +18,7 @@
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/fulmarmount/internal/gateway"
+	"fulmarmount.org/fulmarmount/internal/guard"
 	"fulmarmount.org/fulmarmount/internal/pace"
 	"fulmarmount.org/fulmarmount/internal/packet"
 	"fulmarmount.org/fulmarmount/internal/peer"
@@ -158,7 +159,7 @@
 		return nil, err
 	}
 	a.restore(predecessorState)
-	a.envelopeReader.Go(a.readEnvelopes)
+	a.envelopeReader.Go(func() { guard.Loop(a.options.Log, a.readEnvelopes) })
 	a.tasks.Go(func() { a.expireFlows(ctx) })
 	a.tasks.Go(func() { a.pushPointers(ctx) })
 	a.tasks.Go(func() { a.announce(ctx) })
--- a/internal/role/agent/handover.go
+++ b/internal/role/agent/handover.go
@@ -10,6 +10,7 @@
 
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/fulmarmount/internal/guard"
 	"fulmarmount.org/fulmarmount/internal/proto"
 	"fulmarmount.org/fulmarmount/internal/udp"
 )
@@ -66,7 +67,7 @@
 	o.recordCallerPacket(time.Unix(0, s.Seen), s.ReplyTo)
 	a.ownership.pusher.AddFlow(o.id)
 	service := view.ServiceID(a.serviceID.Load())
-	a.tasks.Go(func() { a.readBackend(o, service) })
+	a.tasks.Go(func() { guard.Loop(a.options.Log, func() { a.readBackend(o, service) }) })
 	return nil
 }
 
--- a/internal/role/agent/packets.go
+++ b/internal/role/agent/packets.go
@@ -10,6 +10,7 @@
 
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/fulmarmount/internal/guard"
 	"fulmarmount.org/fulmarmount/internal/pace"
 	"fulmarmount.org/fulmarmount/internal/packet"
 )
@@ -105,7 +106,7 @@
 	a.returnPaths.MarkSeen(h.ReplyTo, now)
 	if opened {
 		service := h.Flow.Service
-		a.tasks.Go(func() { a.readBackend(o, service) })
+		a.tasks.Go(func() { guard.Loop(a.options.Log, func() { a.readBackend(o, service) }) })
 	}
 	if _, err := o.conn.Write(payload); err != nil {
 		a.stats.Failed.Add(1)
--- a/internal/role/balancer/balancer.go
+++ b/internal/role/balancer/balancer.go
@@ -19,6 +19,7 @@
 
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/fulmarmount/internal/gateway"
+	"fulmarmount.org/fulmarmount/internal/guard"
 	"fulmarmount.org/fulmarmount/internal/handover"
 	"fulmarmount.org/fulmarmount/internal/packet"
 	"fulmarmount.org/fulmarmount/internal/peer"
@@ -264,7 +265,7 @@
 	}
 	switch l := l.(type) {
 	case *udp.Conn:
-		b.readers.Go(func() { b.readCallers(l) })
+		b.readers.Go(func() { guard.Loop(b.options.Log, func() { b.readCallers(l) }) })
 	case *net.TCPListener:
 		accept := b.acceptStreams
 		if key.mode == proto.ModeRequest {
@@ -273,7 +274,7 @@
 		b.acceptors.Add(1)
 		b.readers.Go(func() {
 			defer b.acceptors.Done()
-			accept(l)
+			guard.Loop(b.options.Log, func() { accept(l) })
 		})
 	default:
 		b.options.Log.Error("Cannot read from a listener of unknown type; its address is not served.", zap.Stringer("address", key.addr))
--- a/internal/role/balancer/handover.go
+++ b/internal/role/balancer/handover.go
@@ -4,11 +4,14 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"fulmarmount.org/core/view"
+	"fulmarmount.org/fulmarmount/internal/guard"
 	"fulmarmount.org/fulmarmount/internal/handover"
 	"fulmarmount.org/fulmarmount/internal/packet"
 	"fulmarmount.org/fulmarmount/internal/proto"
@@ -85,7 +88,7 @@
 	defer b.mu.Unlock()
 	b.paused = false
 	b.setDeadlines(time.Time{})
-	b.readers.Go(b.readEnvelopes)
+	b.readers.Go(func() { guard.Loop(b.options.Log, b.readEnvelopes) })
 	for key, l := range b.listeners {
 		b.startReader(key, l)
 	}
@@ -160,6 +163,7 @@
 		b.options.Log.Error("Failed to restore the predecessor's services and views; nothing is served until control's first update.", zap.Error(err))
 		return
 	}
+	u.Views = slices.DeleteFunc(u.Views, func(v *view.View) bool { return v == nil })
 	for _, v := range u.Views {
 		v.Prepare()
 	}
--- a/internal/role/balancer/streams.go
+++ b/internal/role/balancer/streams.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/flow"
+	"fulmarmount.org/fulmarmount/internal/guard"
 	"fulmarmount.org/fulmarmount/internal/peer"
 	"fulmarmount.org/fulmarmount/internal/proto"
 	"fulmarmount.org/fulmarmount/internal/splice"
@@ -38,7 +39,7 @@
 		if err != nil {
 			return
 		}
-		b.openStreams.Go(func() { b.serveStream(conn) })
+		b.openStreams.Go(func() { guard.Run(b.options.Log, func() { b.serveStream(conn) }) })
 	}
 }
 
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -71,6 +71,8 @@
 	// isAnnounced is set once control has accepted an announcement of the backend
 	// server's incarnation.
 	isAnnounced bool
+	// hasLeft is set once the backend server's incarnation has deregistered.
+	hasLeft bool
 	// unsubscribe cancels the subscription to the service's configuration.
 	unsubscribe context.CancelFunc
 }
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -18,7 +18,8 @@
 
 // HandleReport applies a report of the backend server. It returns an error of type
 // ErrInvalidReport if the report is not from the backend server beside this agent,
-// and one of type ErrStaleReport if the report is older than the latest one.
+// and one of type ErrStaleReport if the report is older than the latest one, or of a
+// start of the backend server that has deregistered.
 func (a *Agent) HandleReport(r BackendReport) error {
 	if r.Address != a.options.BackendAddr {
 		return ErrInvalidReport.New("backend server %q is at %s, not beside this agent at %s", r.ID, r.Address, a.options.BackendAddr)
@@ -29,6 +30,8 @@
 	switch {
 	case r.Incarnation < previous.Incarnation:
 		return ErrStaleReport.New("run %d of %q is older than run %d of %q", r.Incarnation, r.ID, previous.Incarnation, previous.ID)
+	case r.Incarnation == previous.Incarnation && a.hasLeft && !r.StartedAt.IsZero():
+		return ErrStaleReport.New("report %d of %q is of a start that has left", r.Sequence, r.ID)
 	case r.Incarnation == previous.Incarnation && r.Sequence < previous.Sequence:
 		return ErrStaleReport.New("report %d of %q is older than report %d", r.Sequence, r.ID, previous.Sequence)
 	}
@@ -56,7 +59,7 @@
 func (a *Agent) startIncarnation(r BackendReport) {
 	mayHaveFlows := a.report.Incarnation == 0 && !r.startedAfter(a.started)
 	a.steer.StartIncarnation(view.Incarnation(r.Incarnation), mayHaveFlows)
-	a.isAnnounced = false
+	a.isAnnounced, a.hasLeft = false, false
 	if r.Service != a.options.Service {
 		a.options.Log.Warn("Backend server reported a different service; subscribing to it.", zap.String("service", r.Service), zap.String("before", a.options.Service))
 		a.options.Service, a.service = r.Service, 0
@@ -73,6 +76,7 @@
 		a.options.Log.Info("Ignored the deregistration of another backend server.", zap.String("id", id))
 		return
 	}
+	a.hasLeft = true
 	a.steer.SetState(routing.BackendDeregistered)
 	a.options.Log.Info("Backend server's state changed.", zap.String("id", id), zap.Stringer("standing", routing.BackendDeregistered))
 	a.requestAnnouncement()
--- a/internal/segment/envelope.go
+++ b/internal/segment/envelope.go
@@ -13,6 +13,7 @@
 	"fulmarmount.org/core/flow"
 	"fulmarmount.org/core/routing"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/fulmarmount/internal/guard"
 	"fulmarmount.org/fulmarmount/internal/packet"
 	"fulmarmount.org/fulmarmount/internal/udp"
 )
@@ -94,6 +95,10 @@
 // readDatagrams passes each datagram of a socket to handle until it is closed. The
 // datagram is valid until handle returns.
 func (e *envelopeSocket) readDatagrams(conn *udp.Conn, handle func(datagram []byte, from netip.AddrPort)) {
+	guard.Loop(e.log, func() { e.readUntilClosed(conn, handle) })
+}
+
+func (e *envelopeSocket) readUntilClosed(conn *udp.Conn, handle func(datagram []byte, from netip.AddrPort)) {
 	buf := make([]byte, maxDatagramSize)
 	for {
 		n, from, _, err := conn.Read(buf)
