Let every segment of a request follow its search

A request of two segments was split: the return of the first started the next wave, and that of the second was dropped as a copy, so that the caller sent it again after 200 ms. Change: a search knows which segments the members of its last wave have; a returned segment that they do not have is forwarded to those that have not answered. Tests: TestEverySegmentOfRequestReachesTheOwner, 200 random orders of returns; without the change one of three segments arrives.

--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -146,7 +146,7 @@
 		}
 		b.owners.remove(id)
 	}
-	return b.continueSearch(now, t, s, id, searchEvent{startsSearch: true})
+	return b.continueSearch(now, t, s, id, searchEvent{segment: s.key(), startsSearch: true})
 }
 
 func forwardToOwner(m *member) Decision {
@@ -295,7 +295,7 @@
 	if r.BackendDown && !s.HasFlags(RST) {
 		return Decision{Verdict: Reset, Reason: ReasonBackendDown}
 	}
-	return b.continueSearch(now, t, s, id, searchEvent{returnedBy: r.Seed, startsSearch: isFromCachedOwner})
+	return b.continueSearch(now, t, s, id, searchEvent{segment: s.key(), returnedBy: r.Seed, startsSearch: isFromCachedOwner})
 }
 
 // retryPlacement places a new flow again after a member has refused it.
--- a/core/routing/balancer_test.go
+++ b/core/routing/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
@@ -499,3 +500,42 @@
 	is.Equal(len(probed), 8)
 	is.Equal(probed[placed.To], 0)
 }
+
+// A request of several segments reaches the owner whole, whatever the order of the
+// returns: a caller sends what is missing again only after its retransmission time.
+func TestEverySegmentOfRequestReachesTheOwner(t *testing.T) {
+	is := is.New(t)
+	for n := range 200 {
+		b := newBalancer(servers(1, 9)...)
+		random := rand.New(rand.NewPCG(uint64(n), 3))
+		owner := view.SeedOf(fmt.Sprint("host-", 1+random.IntN(9)))
+		type sent struct {
+			segment *Segment
+			to      Target
+		}
+		var open []sent
+		forward := func(s *Segment, d Decision) {
+			is.True(d.Verdict != Reset)
+			for _, target := range d.targets() {
+				open = append(open, sent{s, target})
+			}
+		}
+		reached := make(map[uint32]int)
+		for i := range uint32(3) {
+			s := data(n)
+			s.Seq = 1000 + 100*i
+			forward(s, b.Steer(testNow, s))
+		}
+		for len(open) > 0 {
+			i := random.IntN(len(open))
+			s := open[i]
+			open = slices.Delete(open, i, i+1)
+			if s.to.To.Seed == owner {
+				reached[s.segment.Seq]++
+				continue
+			}
+			forward(s.segment, returnFrom(b, testNow, s.segment, s.to))
+		}
+		is.Equal(reached, map[uint32]int{1000: 1, 1100: 1, 1200: 1})
+	}
+}
--- a/core/routing/searches.go
+++ b/core/routing/searches.go
@@ -40,11 +40,33 @@
 	waves     int // number of waves sent
 	waveStart int // index of the first probe of the last wave
 	probedAt  time.Duration
+	// sent are the segments that the members of the last wave have. A request may have
+	// several.
+	sent []segmentKey
 	// isExhausted is set once every member was probed. The search then only waits for
 	// late answers.
 	isExhausted bool
 }
 
+// segmentKey tells the segments of a flow apart.
+type segmentKey struct {
+	seq    uint32
+	length int
+	flags  Flags
+}
+
+func (s *Segment) key() segmentKey { return segmentKey{seq: s.Seq, length: s.Length, flags: s.Flags} }
+
+// recordSent records a segment as forwarded to the last wave, and reports whether its
+// members did not have it.
+func (s *search) recordSent(key segmentKey) bool {
+	if slices.Contains(s.sent, key) {
+		return false
+	}
+	s.sent = append(s.sent, key)
+	return true
+}
+
 // probe is a segment forwarded to a member that may own its flow.
 type probe struct {
 	seed       uint64
@@ -103,7 +125,7 @@
 		}
 	}
 	if len(out) > 0 {
-		s.waves, s.waveStart, s.probedAt = s.waves+1, start, now
+		s.waves, s.waveStart, s.probedAt, s.sent = s.waves+1, start, now, nil
 	}
 	return out
 }
@@ -131,7 +153,8 @@
 	// members are those to forward the segment to.
 	members []*member
 	hops    uint8
-	// isPending is set if the segment is not forwarded since answers are pending.
+	// isPending is set if the segment is not forwarded since the members whose answers
+	// are pending have it.
 	isPending bool
 	// unresponsive are the members whose probes have just timed out.
 	unresponsive []*member
@@ -141,6 +164,7 @@
 
 // searchEvent is what a search goes on with.
 type searchEvent struct {
+	segment segmentKey
 	// returnedBy is the seed of the member that has returned the segment, or 0 for a
 	// segment from the caller.
 	returnedBy uint64
@@ -151,8 +175,9 @@
 }
 
 // nextStep selects the members to forward a segment of the flow to. While answers are
-// pending, segments from the caller follow the pending probes. A segment from the caller
-// starts a search that was exhausted anew.
+// pending, segments from the caller follow the pending probes, and so do returned ones
+// that the members of the last wave do not have. A segment from the caller starts a
+// search that was exhausted anew.
 func (s *searchTable) nextStep(now time.Duration, id flow.ID, members []*member, event searchEvent) searchStep {
 	shard := &s.shards[id.Key%shardCount]
 	shard.mu.Lock()
@@ -171,13 +196,14 @@
 		switch {
 		case now-entry.probedAt > probeTimeout:
 			out.unresponsive = pending
-		case event.returnedBy != 0:
+		case !entry.recordSent(event.segment) && event.returnedBy != 0:
 			return searchStep{isPending: true}
 		default:
 			return searchStep{members: pending, hops: uint8(entry.waveStart)}
 		}
 	}
 	if out.members = entry.nextWave(now, members); len(out.members) > 0 {
+		entry.recordSent(event.segment)
 		out.hops = uint8(entry.waveStart)
 		return out
 	}
