Let the end of a backend server with a half-open flow end no flow

An agent whose backend server is down answered 'ended' for any flow that it had a record of, and the balancer resets on that at once. Asked one after the other the owner was mostly found first; waves ask both together. Change: an agent says that a flow has ended with its backend server only if that had sent more than an answer to the SYN; otherwise that it does not own the flow, and the search goes on. Tests: TestEndOfBackendServerWithHalfOpenFlowEndsNoFlow, two of three rows failed before. TestSilentBackendServerIsDownAfterTimeout opens its flow now, which it had only begun.

--- a/core/routing/agent.go
+++ b/core/routing/agent.go
@@ -81,6 +81,9 @@
 	lastSeen  time.Duration
 	balancer  netip.AddrPort // forwarded the latest SYN; notified when it is answered
 	isRunning bool           // the caller waits for a response
+	// isEstablished is set once the backend server has sent more than an answer to the
+	// SYN. Until then the caller may have opened the flow at another one.
+	isEstablished bool
 	// requestEnd is the sequence number after the last byte received from the caller.
 	requestEnd uint32
 	backendFIN bool
@@ -265,12 +268,12 @@
 		return a.checkSYN(info, s)
 	}
 	switch {
-	case f != nil && a.isDown():
+	case f != nil && f.isEstablished && a.isDown():
 		return RefusalBackendDown
-	case f != nil:
-		return RefusalNone
 	case a.isDown():
 		return RefusalUnknownFlow
+	case f != nil:
+		return RefusalNone
 	case a.hasAllFlows || now-a.startedAt > MaxFlowLifetime:
 		return RefusalUnknownFlow
 	}
@@ -396,6 +399,7 @@
 		a.setRunning(f, true) // the caller's request is about to arrive
 		return f.balancer
 	}
+	f.isEstablished = true
 	notify = a.probes[id].balancer
 	delete(a.probes, id)
 	return notify
--- a/core/routing/agent_test.go
+++ b/core/routing/agent_test.go
@@ -134,6 +134,7 @@
 	is := is.New(t)
 	a := newAgent(BackendServing, true)
 	a.Receive(0, syn(1), forwardInfo(5))
+	a.ObserveReply(0, reply(1, ACK, 0)) // the flow is open here
 	var downAt time.Duration
 	for now := time.Duration(0); now < 2*silenceTimeout; now += 100 * time.Millisecond {
 		if a.Tick(now) {
@@ -217,3 +218,28 @@
 	a.Receive(later, data(1), forwardInfo(5))
 	is.Equal(a.ObserveReply(later, reply(1, ACK, 10)), forwardInfo(5).Balancer)
 }
+
+// Copies of a SYN may reach two backend servers. The flow is open at the one that the
+// caller goes on with; if the other ends, that ends nothing.
+func TestEndOfBackendServerWithHalfOpenFlowEndsNoFlow(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		replies []*Segment
+		want    Refusal
+	}{
+		{"never answered", nil, RefusalUnknownFlow},
+		{"answered the SYN", []*Segment{reply(1, SYN|ACK, 0), reply(1, SYN|ACK, 0)}, RefusalUnknownFlow},
+		{"served the flow", []*Segment{reply(1, SYN|ACK, 0), reply(1, ACK, 0)}, RefusalBackendDown},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a := newAgent(BackendServing, true)
+			a.Receive(0, syn(1), forwardInfo(5))
+			for _, r := range tt.replies {
+				a.ObserveReply(0, r)
+			}
+			a.SetState(BackendDeregistered)
+			is.Equal(a.Receive(testNow, data(1), forwardInfo(5)).Refusal, tt.want)
+		})
+	}
+}
