Probe the members of a search one at a time again

After a kill of all, backend servers and flows live on, views cannot leave a member out, and every flow is searched for; each search whose probes were late sent sixteen more copies every 60 ms, answers were later still, and the overload fed itself. The rule for half-open flows stays: agents say 'ended' of them in any order of probes. Tests: TestSegmentsOfOneFlowProbeOneMemberAtATime is back and holds that a segment has one copy on its way. TestEverySegmentOfRequestReachesTheOwner stays without waves. TestLateCopiesStartNoSearch and TestSegmentsOfOneFlow- FollowThePendingProbes tested the waves alone and go with them. What it was for, 80 ms until the reset of a lost flow, is left.

--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -40,13 +40,12 @@
 	ReasonPartialView                     // the view may lack members that own the flow
 	ReasonOverloaded                      // no member can answer another request in time
 	ReasonPlacementLimit                  // too many members have refused the flow
-	ReasonProbesPending                   // other members have the segment and may own its flow
 	reasonCount             = iota
 )
 
 var reasonNames = [reasonCount]string{
 	"placed", "remembered", "searched", "no_route", "no_member", "not_held", "host_ended", "not_current",
-	"unanswered", "search_bound", "view_partial", "full", "place_bound", "pending",
+	"unanswered", "search_bound", "view_partial", "full", "place_bound",
 }
 
 // String returns the reason's name in metrics and logs.
@@ -84,14 +83,6 @@
 	// OwnerKnown is set if To is the cached owner rather than the target of a probe
 	// or of a placement. The owner may not have confirmed the flow yet.
 	OwnerKnown bool
-	// More are further members to forward the segment to.
-	More []Target
-}
-
-// Target is a member to forward a segment to.
-type Target struct {
-	To      flow.Peer
-	Service view.ServiceID
 }
 
 // Balancer decides about the segments of callers. It is safe for concurrent use.
@@ -146,7 +137,7 @@
 		}
 		b.owners.remove(id)
 	}
-	return b.continueSearch(now, t, s, id, searchEvent{segment: s.key(), startsSearch: true})
+	return b.continueSearch(now, t, s, id, 0)
 }
 
 func forwardToOwner(m *member) Decision {
@@ -218,20 +209,19 @@
 	return Decision{Verdict: Reset, Reason: ReasonNoMember}
 }
 
-// continueSearch forwards a segment to the members to probe next.
-func (b *Balancer) continueSearch(now time.Duration, t *Table, s *Segment, id flow.ID, event searchEvent) Decision {
+// continueSearch forwards a segment to the member to probe next. returnedBy is the seed
+// of the member that has returned the segment, or 0.
+func (b *Balancer) continueSearch(now time.Duration, t *Table, s *Segment, id flow.ID, returnedBy uint64) Decision {
 	members := t.searchOrder(id.Key, s.Tuple.Service)
 	truncated := len(members) > maxSearchMembers
 	b.loads.sortUnresponsiveLast(members)
-	next := b.searches.nextStep(now, id, members[:min(len(members), maxSearchMembers)], event)
-	for _, m := range next.unresponsive {
-		b.loads.markUnresponsive(m)
+	next := b.searches.nextStep(now, id, members[:min(len(members), maxSearchMembers)], returnedBy)
+	if next.unresponsive != nil {
+		b.loads.markUnresponsive(next.unresponsive)
 	}
 	switch {
-	case next.isPending:
-		return Decision{Verdict: Drop, Reason: ReasonProbesPending}
-	case len(next.members) > 0:
-		return forwardProbes(next)
+	case next.member != nil:
+		return Decision{Verdict: Forward, Reason: ReasonSearched, To: next.member.peer, Service: next.member.service, Hops: next.hops}
 	case !b.IsConfigConfirmed():
 		return Decision{Verdict: Drop, Reason: ReasonConfigUnconfirmed}
 	case !t.hasCompleteViews(id.Key, s.Tuple.Service):
@@ -246,15 +236,6 @@
 	return Decision{Verdict: Reset, Reason: ReasonFlowNotFound}
 }
 
-func forwardProbes(next searchStep) Decision {
-	first := next.members[0]
-	d := Decision{Verdict: Forward, Reason: ReasonSearched, To: first.peer, Service: first.service, Hops: next.hops}
-	for _, m := range next.members[1:] {
-		d.More = append(d.More, Target{To: m.peer, Service: m.service})
-	}
-	return d
-}
-
 // OverdueSearches returns the flows whose pending probe has timed out. To continue their
 // searches, pass a stored segment of each flow to Steer.
 func (b *Balancer) OverdueSearches(now time.Duration) []flow.ID { return b.searches.overdue(now) }
@@ -279,9 +260,8 @@
 	id := s.Tuple.ID()
 	b.loads.markResponsive(r.Service, r.Seed)
 	o, cached := b.owners.get(now, id)
-	isFromCachedOwner := cached && o.seed == r.Seed
 	switch {
-	case isFromCachedOwner:
+	case cached && o.seed == r.Seed:
 		b.owners.remove(id)
 	case cached && !s.OpensFlow():
 		// The owner was found after this probe was sent.
@@ -295,7 +275,7 @@
 	if r.BackendDown && !s.HasFlags(RST) {
 		return Decision{Verdict: Reset, Reason: ReasonBackendDown}
 	}
-	return b.continueSearch(now, t, s, id, searchEvent{segment: s.key(), returnedBy: r.Seed, startsSearch: isFromCachedOwner})
+	return b.continueSearch(now, t, s, id, r.Seed)
 }
 
 // retryPlacement places a new flow again after a member has refused it.
--- a/core/routing/balancer_test.go
+++ b/core/routing/balancer_test.go
@@ -57,35 +57,16 @@
 func syn(n int) *Segment  { return &Segment{Tuple: tuple(n), Flags: SYN} }
 func data(n int) *Segment { return &Segment{Tuple: tuple(n), Flags: ACK, Length: 100} }
 
-// targets returns all members that a decision forwards a segment to.
-func (d *Decision) targets() []Target {
-	if d.Verdict != Forward {
-		return nil
-	}
-	return append([]Target{{To: d.To, Service: d.Service}}, d.More...)
-}
-
-// returnFrom returns a segment from a target.
-func returnFrom(b *Balancer, now time.Duration, s *Segment, t Target) Decision {
-	return b.HandleReturn(now, s, ReturnInfo{Service: t.Service, Seed: t.To.Seed})
-}
-
 // returnFromAll returns a segment from every member that it is forwarded to, until the
 // balancer resets or drops it. probed counts the forwards to each member.
 func returnFromAll(b *Balancer, s *Segment) (probed map[flow.Peer]int, last Decision) {
-	return returnAll(b, testNow, s, b.Steer(testNow, s))
-}
-
-func returnAll(b *Balancer, now time.Duration, s *Segment, d Decision) (probed map[flow.Peer]int, last Decision) {
 	probed = make(map[flow.Peer]int)
-	last = d
-	open := d.targets()
-	for len(open) > 0 {
-		t := open[0]
-		open = open[1:]
-		probed[t.To]++
-		last = returnFrom(b, now, s, t)
-		open = append(open, last.targets()...)
+	last = b.Steer(testNow, s)
+	for last.Verdict == Forward {
+		probed[last.To]++
+		last = b.HandleReturn(testNow, s, ReturnInfo{
+			Service: last.Service, Seed: last.To.Seed, Hops: last.Hops,
+		})
 	}
 	return probed, last
 }
@@ -98,16 +79,12 @@
 		placed := placing.Steer(testNow+time.Duration(n)*2*placementTTL, syn(n))
 		is.Equal(placed.Verdict, Forward)
 		probe := searching.Steer(testNow, data(n))
-		probed := probe.targets()
-		for wave := probed; !slices.ContainsFunc(wave, func(t Target) bool { return t.To == placed.To }); {
-			var next Decision
-			for _, t := range wave {
-				next = returnFrom(searching, testNow, data(n), t)
-			}
-			wave = next.targets()
-			probed = append(probed, wave...)
+		probes := 1
+		for probe.To != placed.To {
+			probes++
+			probe = searching.HandleReturn(testNow, data(n), ReturnInfo{Service: testService, Seed: probe.To.Seed, Hops: probe.Hops})
 		}
-		is.True(len(probed) <= maxPlacementCandidates)
+		is.True(probes <= maxPlacementCandidates)
 	}
 }
 
@@ -176,37 +153,30 @@
 		is.True(b.Steer(testNow+200*time.Millisecond, data(100+n)).To != unresponsive)
 	}
 	// The unresponsive member may own the flow, so it is not reset.
-	probed, last := returnAll(b, testNow+210*time.Millisecond, data(1), next)
-	is.Equal(len(probed), 3)
-	is.Equal(last, Decision{Verdict: Drop, Reason: ReasonProbeTimeout})
+	probed := map[flow.Peer]bool{unresponsive: true}
+	for next.Verdict == Forward {
+		probed[next.To] = true
+		next = b.HandleReturn(testNow+210*time.Millisecond, data(1), ReturnInfo{Service: testService, Seed: next.To.Seed})
+	}
+	is.Equal(len(probed), 4)
+	is.Equal(next, Decision{Verdict: Drop, Reason: ReasonProbeTimeout})
 	// A load report restores its place in the search order.
 	b.ReportLoad(testNow+220*time.Millisecond, testService, unresponsive.Seed, Load{})
 	is.Equal(b.Steer(testNow+220*time.Millisecond, data(1)).To, unresponsive)
 }
 
-func TestSegmentsOfOneFlowFollowThePendingProbes(t *testing.T) {
+func TestSegmentsOfOneFlowProbeOneMemberAtATime(t *testing.T) {
 	is := is.New(t)
-	b := newBalancer(servers(1, 40)...)
+	b := newBalancer(servers(1, 3)...)
 	first := b.Steer(testNow, data(1))
-	is.Equal(first.targets(), []Target{{To: first.To, Service: testService}})
-	again := b.Steer(testNow, data(1))
-	is.Equal(again.targets(), first.targets())
-	second := returnFrom(b, testNow, data(1), first.targets()[0])
-	is.Equal(len(second.targets()), maxPlacementCandidates-1)
-	// The first member returns the other segment too. The members of the second wave get
-	// no copy for each return.
-	is.Equal(returnFrom(b, testNow, data(1), first.targets()[0]), Decision{Verdict: Drop, Reason: ReasonProbesPending})
-	again = b.Steer(testNow, data(1))
-	is.Equal(again.targets(), second.targets())
-	is.Equal(returnFrom(b, testNow, data(1), second.targets()[0]), Decision{Verdict: Drop, Reason: ReasonProbesPending})
-	again = b.Steer(testNow, data(1)) // follows the probe that is left
-	is.Equal(again.targets(), second.targets()[1:])
-	third := returnFrom(b, testNow, data(1), second.targets()[1])
-	is.Equal(len(third.targets()), maxWave)
-	owner := third.targets()[2]
-	b.ConfirmOwner(testNow, tuple(1).ID(), testService, owner.To.Seed)
-	late := returnFrom(b, testNow, data(1), first.targets()[0])
-	is.Equal(late.To, owner.To)
+	is.Equal(b.Steer(testNow, data(1)).To, first.To)
+	second := b.HandleReturn(testNow, data(1), ReturnInfo{Service: testService, Seed: first.To.Seed})
+	is.True(second.To != first.To)
+	// The first member returns the other segment too.
+	is.Equal(b.HandleReturn(testNow, data(1), ReturnInfo{Service: testService, Seed: first.To.Seed}).To, second.To)
+	b.ConfirmOwner(testNow, tuple(1).ID(), testService, second.To.Seed)
+	late := b.HandleReturn(testNow, data(1), ReturnInfo{Service: testService, Seed: first.To.Seed})
+	is.Equal(late.To, second.To)
 	is.Equal(late.Reason, ReasonCachedOwner)
 }
 
@@ -352,7 +322,7 @@
 	b.Steer(testNow, s)
 	var last Decision
 	now := testNow
-	for range 2 { // a wave of one member, and one of two
+	for range 3 {
 		now += probeTimeout + 1
 		is.Equal(len(b.OverdueSearches(now)), 1)
 		last = b.Steer(now, s)
@@ -442,27 +412,24 @@
 			is := is.New(t)
 			b := newBalancer(servers(1, 3)...)
 			now := testNow
-			var late []Target
+			var late []Decision
 			d := b.Steer(now, data(1))
 			for d.Verdict == Forward {
-				wave := d.targets()
-				n := min(len(wave), tt.lateOnes-len(late))
-				late = append(late, wave[:n]...)
-				for _, t := range wave[n:] {
-					d = returnFrom(b, now, data(1), t)
-				}
-				if n > 0 {
+				if len(late) < tt.lateOnes {
+					late = append(late, d)
 					now += probeTimeout + 1
 					d = b.Steer(now, data(1))
+					continue
 				}
+				d = b.HandleReturn(now, data(1), ReturnInfo{Service: testService, Seed: d.To.Seed, Hops: d.Hops})
 			}
 			is.Equal(d, Decision{Verdict: Drop, Reason: ReasonProbeTimeout})
 			is.Equal(len(b.OverdueSearches(now+probeTimeout+1)), 0) // it only waits for late answers
 			if !tt.all {
 				late = late[1:]
 			}
-			for _, t := range late {
-				d = returnFrom(b, now, data(1), t)
+			for _, l := range late {
+				d = b.HandleReturn(now, data(1), ReturnInfo{Service: testService, Seed: l.To.Seed, Hops: l.Hops})
 			}
 			is.Equal(d.Verdict == Reset, tt.all)
 			is.Equal(b.Steer(now+time.Millisecond, data(1)).Verdict, Forward) // the caller's next segment starts anew
@@ -481,28 +448,8 @@
 	is.Equal(b.CachedFlows(), 10)
 }
 
-// Copies that members return after the end of their search are dropped. A search for
-// each of them would make new copies, and more of them late.
-func TestLateCopiesStartNoSearch(t *testing.T) {
-	is := is.New(t)
-	b := newBalancer(servers(1, 9)...)
-	first := b.Steer(testNow, data(1))
-	wave := returnFrom(b, testNow, data(1), first.targets()[0])
-	late := testNow + searchTTL + time.Second
-	for _, target := range wave.targets() {
-		is.Equal(returnFrom(b, late, data(1), target), Decision{Verdict: Drop, Reason: ReasonProbesPending})
-	}
-	is.Equal(b.Steer(late, data(1)).Verdict, Forward)
-
-	// The presumed owner's return starts one, which leaves that member out.
-	placed := b.Steer(late, syn(2))
-	probed, _ := returnAll(b, late, data(2), returnFrom(b, late, data(2), placed.targets()[0]))
-	is.Equal(len(probed), 8)
-	is.Equal(probed[placed.To], 0)
-}
-
-// A request of several segments reaches the owner whole, whatever the order of the
-// returns: a caller sends what is missing again only after its retransmission time.
+// Every segment of a request reaches the owner, whatever the order of the returns: a
+// caller sends what is missing again only after its retransmission time.
 func TestEverySegmentOfRequestReachesTheOwner(t *testing.T) {
 	is := is.New(t)
 	for n := range 200 {
@@ -511,31 +458,27 @@
 		owner := view.SeedOf(fmt.Sprint("host-", 1+random.IntN(9)))
 		type sent struct {
 			segment *Segment
-			to      Target
+			d       Decision
 		}
 		var open []sent
-		forward := func(s *Segment, d Decision) {
-			is.True(d.Verdict != Reset)
-			for _, target := range d.targets() {
-				open = append(open, sent{s, target})
-			}
-		}
-		reached := make(map[uint32]int)
 		for i := range uint32(3) {
 			s := data(n)
 			s.Seq = 1000 + 100*i
-			forward(s, b.Steer(testNow, s))
+			open = append(open, sent{s, b.Steer(testNow, s)})
 		}
+		reached := make(map[uint32]bool)
 		for len(open) > 0 {
 			i := random.IntN(len(open))
 			s := open[i]
 			open = slices.Delete(open, i, i+1)
-			if s.to.To.Seed == owner {
-				reached[s.segment.Seq]++
+			is.Equal(s.d.Verdict, Forward)
+			if s.d.To.Seed == owner {
+				reached[s.segment.Seq] = true
 				continue
 			}
-			forward(s.segment, returnFrom(b, testNow, s.segment, s.to))
+			d := b.HandleReturn(testNow, s.segment, ReturnInfo{Service: s.d.Service, Seed: s.d.To.Seed, Hops: s.d.Hops})
+			open = append(open, sent{s.segment, d})
 		}
-		is.Equal(reached, map[uint32]int{1000: 1, 1100: 1, 1200: 1})
+		is.Equal(len(reached), 3)
 	}
 }
--- a/core/routing/possible_test.go
+++ b/core/routing/possible_test.go
@@ -62,8 +62,7 @@
 type lostSegment struct {
 	at, sentAt time.Duration
 	caller     int
-	// returnedBy is the member that returns the segment; nil if the caller sends it.
-	returnedBy *Target
+	decision   Decision
 }
 
 // The load is that of one of the thin VMs in front of 200 backend servers.
@@ -78,7 +77,7 @@
 func (l *lostFlows) run() {
 	for n := range int(lostFlowRate * lostFlowTime / time.Second) {
 		at := time.Duration(n) * time.Second / lostFlowRate
-		l.pending = append(l.pending, lostSegment{at: at, sentAt: at, caller: n})
+		l.pending = append(l.pending, lostSegment{at: at, sentAt: at, caller: n, decision: Decision{Verdict: Drop}})
 	}
 	for len(l.pending) > 0 {
 		i := 0
@@ -95,18 +94,20 @@
 
 // handle passes a segment, or its return by a member, to the balancer.
 func (l *lostFlows) handle(s lostSegment) {
-	var d Decision
-	if s.returnedBy == nil {
-		d = l.balancer.Steer(s.at, data(s.caller))
+	if s.decision.Verdict == Forward {
+		s.decision = l.balancer.HandleReturn(s.at, data(s.caller), ReturnInfo{
+			Service: s.decision.Service, Seed: s.decision.To.Seed, Hops: s.decision.Hops,
+		})
 	} else {
-		d = returnFrom(l.balancer, s.at, data(s.caller), *s.returnedBy)
+		s.decision = l.balancer.Steer(s.at, data(s.caller))
 	}
-	if d.Verdict == Reset {
-		l.resets = append(l.resets, s.at-s.sentAt)
-	}
-	for _, t := range d.targets() {
+	switch s.decision.Verdict {
+	case Forward:
 		l.linkFree = max(l.linkFree, s.at) + lostSegmentTime
-		l.pending = append(l.pending, lostSegment{at: l.linkFree + lostRoundTrip, sentAt: s.sentAt, caller: s.caller, returnedBy: &t})
+		s.at = l.linkFree + lostRoundTrip
+		l.pending = append(l.pending, s)
+	case Reset:
+		l.resets = append(l.resets, s.at-s.sentAt)
 	}
 }
 
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -294,24 +294,21 @@
 		case d.Reason == routing.ReasonSearched:
 			b.searchPackets.put(now, s.Tuple.ID(), payload)
 		}
-		b.forward(s, d, routing.Target{To: d.To, Service: d.Service}, payload)
-		for _, target := range d.More {
-			b.forward(s, d, target, payload)
-		}
+		b.forward(s, d, payload)
 	case routing.Reset:
 		b.sendReset(s)
 	}
-	if d.Verdict != routing.Forward && d.Reason != routing.ReasonProbesPending {
+	if d.Verdict != routing.Forward {
 		b.searchPackets.remove(s.Tuple.ID())
 	}
 	b.logDecision(s, d)
 }
 
-func (b *Balancer) forward(s *routing.Segment, d routing.Decision, target routing.Target, payload []byte) {
-	b.send(target.To.Addr, &packet.Header{
+func (b *Balancer) forward(s *routing.Segment, d routing.Decision, payload []byte) {
+	b.send(d.To.Addr, &packet.Header{
 		Kind: packet.Forward, ReplyTo: b.conn.Addr(),
 		Flow: flow.Packet{
-			Service: target.Service, Ballot: flow.Ballot{Version: b.configVersion(target.Service)}, TargetIncarnation: target.To.Incarnation,
+			Service: d.Service, Ballot: flow.Ballot{Version: b.configVersion(d.Service)}, TargetIncarnation: d.To.Incarnation,
 			Tuple: s.Tuple, Hops: d.Hops, EarlierPicksComplete: d.OwnerKnown,
 		},
 	}, payload)
@@ -326,10 +323,9 @@
 	}
 }
 
-// logDecision logs each decision except those that reuse a cached owner or wait for
-// answers.
+// logDecision logs each decision except those that reuse a cached owner.
 func (b *Balancer) logDecision(s *routing.Segment, d routing.Decision) {
-	if d.Reason == routing.ReasonCachedOwner || d.Reason == routing.ReasonProbesPending {
+	if d.Reason == routing.ReasonCachedOwner {
 		return
 	}
 	to := zap.Skip()
@@ -339,7 +335,7 @@
 	b.options.Log.Info(decisionMessages[d.Verdict],
 		zap.Stringer("caller", s.Tuple.Caller), zap.Stringer("address", s.Tuple.Service),
 		zap.Bool("opens", s.OpensFlow()), zap.Uint32("seq", s.Seq), zap.Uint32("copy", s.Retransmits), zap.Stringer("reason", d.Reason),
-		to, zap.Int("more", len(d.More)), zap.Uint8("hops", d.Hops))
+		to, zap.Uint8("hops", d.Hops))
 }
 
 var decisionMessages = map[routing.Verdict]string{
