Review, case 3: an address that goes to another service cuts its flows

During a release, the address of a host that has drained goes to a host of another service, whose open flows get resets.

Cause: a view that lists the gone host until its lease ends removes the members of other services at that address from the balancers' tables.

--- a/review/2/rig/fleet.go
+++ b/review/2/rig/fleet.go
@@ -292,7 +292,7 @@
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(noRun)
 	}
-	cases := map[string]func(*fleet, bool) int{"retired-service": retiredService}
+	cases := map[string]func(*fleet, bool) int{"retired-service": retiredService, "reused-address": reusedAddress}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
