--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -192,6 +192,18 @@
 	return remaining[:len(remaining):len(remaining)]
 }
 
+// bytesAfter returns the size of the entries in the log after index.
+func (l *entryLog) bytesAfter(index uint64) int {
+	if index >= l.lastIndex() {
+		return 0
+	}
+	size := 0
+	for i := max(index, l.offset) - l.offset; i < uint64(len(l.entries)); i++ {
+		size += l.entries[i].size()
+	}
+	return size
+}
+
 // findConflictByTerm returns the index and term of the last entry at or before index
 // whose term is at most term. Terms never decrease along a log, so a log with an
 // entry of that term at index cannot match this log after the returned entry.
--- a/core/quorum/progress.go
+++ b/core/quorum/progress.go
@@ -37,6 +37,8 @@
 	// ActiveSinceCheck reports whether, since the last quorum check, a message arrived
 	// from the replica or this Progress was created.
 	ActiveSinceCheck bool
+	// LagBytes is the size of the entries in the log after Match. Only Status sets it.
+	LagBytes int
 
 	activeBeforeCheck bool     // ActiveSinceCheck as of the last quorum check
 	probeSent         bool     // a probe awaits its response
--- a/core/quorum/ready.go
+++ b/core/quorum/ready.go
@@ -130,6 +130,8 @@
 	CommitIndex   uint64
 	AppliedIndex  uint64
 	SnapshotIndex uint64 // index of the last entry in the latest snapshot
+	SnapshotBytes int    // size of the state in the latest snapshot
+	LogBytes      int    // size of the entries in the log
 	Membership    Membership
 	// SnapshotMembership is the membership in the latest snapshot.
 	SnapshotMembership Membership
@@ -146,9 +148,12 @@
 		LastIndex: r.log.lastIndex(), CommitIndex: r.log.committed, AppliedIndex: r.log.applied,
 		SnapshotIndex: r.log.snapshot.Index, Membership: r.log.membership(),
 		SnapshotMembership: r.log.snapshot.Membership,
+		SnapshotBytes:      len(r.log.snapshot.Data), LogBytes: r.log.bytesAfter(r.log.offset),
 	}
 	for _, p := range r.progress {
-		s.Progress = append(s.Progress, *p)
+		status := *p
+		status.LagBytes = r.log.bytesAfter(p.Match)
+		s.Progress = append(s.Progress, status)
 	}
 	return s
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -80,6 +80,8 @@
 	link       *replicalink.Link
 	cancel     context.CancelFunc
 	background sync.WaitGroup
+	// lagLoggedAt belongs to reconcileMembership.
+	lagLoggedAt time.Time
 
 	mu       sync.Mutex
 	node     *replica.Node
--- a/internal/group/keep.go
+++ b/internal/group/keep.go
@@ -26,6 +26,8 @@
 	leaderlessTimeout = 2 * time.Second
 	// membershipChangeTimeout limits the duration of one membership change.
 	membershipChangeTimeout = 5 * time.Second
+	// lagLogInterval is the time between log lines about a learner that lags.
+	lagLogInterval = time.Second
 )
 
 // reconcileMembership applies the reconciler's changes while this replica is the
@@ -82,11 +84,29 @@
 	switch {
 	case err == nil:
 		g.options.Log.Info("Changed the control group's membership.", fields...)
-	case !errorx.IsOfType(err, quorum.ErrNotCaughtUp):
+	case errorx.IsOfType(err, quorum.ErrNotCaughtUp):
+		g.logLag(n.Status(), c.Member)
+	default:
 		g.options.Log.Warn("Could not change the control group's membership.", append(fields, zap.Error(err))...)
 	}
 }
 
+// logLag logs how far a learner has caught up, at most every lagLogInterval.
+func (g *Group) logLag(s replica.Status, learner quorum.Member) {
+	now := g.options.Now()
+	if now.Sub(g.lagLoggedAt) < lagLogInterval {
+		return
+	}
+	g.lagLoggedAt = now
+	for i := range s.Progress {
+		if p := &s.Progress[i]; p.ID == learner.ID {
+			g.options.Log.Info("A learner has not caught up yet.", zap.Stringer("replica", learner.ID), zap.String("name", learner.Name),
+				zap.Uint64("match", p.Match), zap.Uint64("last", s.LastIndex), zap.Int("lag_bytes", p.LagBytes), zap.Stringer("state", p.State),
+				zap.Int("snapshot_bytes", s.SnapshotBytes), zap.Int("log_bytes", s.LogBytes))
+		}
+	}
+}
+
 // joinWhileLeaderless sends join requests while this replica belongs to no cluster,
 // or has known no leader for leaderlessTimeout: it may have been removed.
 func (g *Group) joinWhileLeaderless(ctx context.Context) {
--- a/internal/group/members.go
+++ b/internal/group/members.go
@@ -105,6 +105,8 @@
 	CommitIndex   uint64           `json:"committed"`
 	AppliedIndex  uint64           `json:"applied"`
 	SnapshotIndex uint64           `json:"snapshot"`
+	SnapshotBytes int              `json:"snapshot_bytes"`
+	LogBytes      int              `json:"log_bytes"`
 	Replicas      []admin.Replica  `json:"replicas"`
 	Counters      replica.Counters `json:"counters"`
 	// Error is the error that stopped the replica.
@@ -121,6 +123,7 @@
 	s := n.Status()
 	d.Cluster, d.Role, d.Leader, d.Term = s.Cluster.String(), s.Role.String(), s.Leader.String(), s.Term
 	d.LastIndex, d.CommitIndex, d.AppliedIndex, d.SnapshotIndex = s.LastIndex, s.CommitIndex, s.AppliedIndex, s.SnapshotIndex
+	d.SnapshotBytes, d.LogBytes = s.SnapshotBytes, s.LogBytes
 	d.Counters = s.Counters
 	if err := n.Err(); err != nil {
 		d.Error = err.Error()
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -100,6 +100,8 @@
 		lastRequestID: o.Rand.Uint64(), appliedIndex: state.Snapshot.Index, snapshotIndex: state.Snapshot.Index,
 		submittedProposals: make(map[uint64]*proposal), pendingReads: make(map[uint64]*pendingRead),
 	}
+	n.log.Info("Started the replica.", zap.Stringer("replica", o.Store.Replica()), zap.Uint64("snapshot", state.Snapshot.Index),
+		zap.Int("snapshot_bytes", len(state.Snapshot.Data)), zap.Int("log_entries", len(state.Entries)), zap.Int("log_bytes", raft.Status().LogBytes))
 	go n.run()
 	return n, nil
 }
@@ -264,6 +266,7 @@
 		}
 	}
 	n.appliedIndex, n.snapshotIndex = s.Index, s.Index
+	n.log.Info("Installed the leader's snapshot.", zap.Uint64("index", s.Index), zap.Int("bytes", len(s.Data)))
 	n.notifyWaiters()
 	// The snapshot may cover the proposals' entries, whose results are then lost.
 	n.failSubmittedProposals(ErrOutcomeUnknown.New("the leader's snapshot replaced the log through index %d", s.Index))
