Bound the log in bytes, so that lost disks can be replaced in time

Each change holds the whole document, so a replica with an empty disk had to replay all of them.

It is the same cause on a related path, though: 100 entries could be 31 MB for which every commit waits, as a promotion counts from its append.

Both tests fail without the change: TestReplicaWithEmptyDiskReplaysFewLargeCommands (log of 15 MB where 2.6 MB are allowed) and the case "a learner that lacks a few large entries is not promoted" of TestFailureScenarios.

--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -1,9 +1,11 @@
 package quorum
 
-// maxPromotionLag is the largest number of entries that a learner may lag behind
-// the leader when it is promoted, so that commits do not wait long for it
-// (thesis, 4.2.1).
-const maxPromotionLag = 100
+// A learner may lag behind the leader by this much when it is promoted, so that commits
+// do not wait long for it (thesis, 4.2.1). A single entry may exceed the bytes.
+const (
+	maxPromotionLag      = 100     // entries
+	maxPromotionLagBytes = 1 << 20 // bytes
+)
 
 // ProposeChange proposes one membership change. Only the leader accepts it, one
 // at a time, and only after an entry of its term is committed (thesis, 4.1, and
@@ -39,7 +41,7 @@
 func (r *Replica) validateChange(c ConfChange, next Membership) error {
 	if c.Op == PromoteLearner {
 		p := r.progressOf(c.Member.ID)
-		if p == nil || !r.isRecentlyActive(p.ID) || p.State != StateReplicate || p.Match+maxPromotionLag < r.log.lastIndex() {
+		if p == nil || !r.isRecentlyActive(p.ID) || !r.hasCaughtUp(p) {
 			return ErrNotCaughtUp.New("learner %s has not replicated the log up to entry %d", c.Member.ID, r.log.lastIndex())
 		}
 	}
@@ -50,6 +52,15 @@
 	return nil
 }
 
+// hasCaughtUp reports whether p lacks so little of the log that it may be promoted.
+func (r *Replica) hasCaughtUp(p *Progress) bool {
+	if p.State != StateReplicate || p.Match < r.log.offset {
+		return false
+	}
+	lag := r.log.lastIndex() - p.Match
+	return lag <= maxPromotionLag && lag == uint64(len(r.log.entriesFrom(p.Match+1, maxPromotionLagBytes)))
+}
+
 // syncProgress matches the progress list to the other members of the active
 // membership.
 func (r *Replica) syncProgress() {
--- a/core/quorum/failures_test.go
+++ b/core/quorum/failures_test.go
@@ -54,6 +54,7 @@
 		run  func(is *is.I, s *sim)
 	}{
 		{"a replica with a replaced disk rejoins as a learner under a new ID", replacedDiskRejoins},
+		{"a learner that lacks a few large entries is not promoted", largeLagIsNotCaughtUp},
 		{"another VM is lost right after the repair", secondLossAfterRepair},
 		{"a leader is partitioned for an hour", leaderPartitioned},
 		{"a leader is partitioned and its clock stopped", leaderClockStopped},
@@ -100,6 +101,28 @@
 	is.NoErr(s.leader().r.ProposeChange(0, ConfChange{Op: PromoteLearner, Member: learner}))
 }
 
+// Guards against a promotion after which every commit waits for megabytes that the new
+// voter lacks: two entries are few, but these take long to replicate.
+func largeLagIsNotCaughtUp(is *is.I, s *sim) {
+	n := s.followers()[0]
+	s.lostID = n.id
+	s.crash(n)
+	s.replaceDisk(n)
+	learner := Member{ID: n.id}
+	is.NoErr(s.leader().r.ProposeChange(0, ConfChange{Op: AddLearner, Member: learner}))
+	s.run(50)
+	s.isolate(n)
+	for range 2 {
+		is.NoErr(s.leader().r.Propose(0, make([]byte, maxPromotionLagBytes)))
+	}
+	s.run(3)
+	err := s.leader().r.ProposeChange(0, ConfChange{Op: PromoteLearner, Member: learner})
+	is.True(errorx.IsOfType(err, ErrNotCaughtUp))
+	s.blocked = map[[2]ReplicaID]bool{}
+	s.run(50)
+	is.NoErr(s.leader().r.ProposeChange(0, ConfChange{Op: PromoteLearner, Member: learner}))
+}
+
 func secondLossAfterRepair(is *is.I, s *sim) {
 	s.replaceReplica(s.followers()[0])
 	is.Equal(s.lostID, ReplicaID(0))
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -184,7 +184,7 @@
 	remaining := l.entries[index-l.offset-1:]
 	size := 0
 	for i := range remaining {
-		size += remaining[i].size()
+		size += remaining[i].Size()
 		if i > 0 && size > maxBytes {
 			return remaining[:i:i]
 		}
@@ -199,11 +199,25 @@
 	}
 	size := 0
 	for i := max(index, l.offset) - l.offset; i < uint64(len(l.entries)); i++ {
-		size += l.entries[i].size()
+		size += l.entries[i].Size()
 	}
 	return size
 }
 
+// trailingEntries returns the number of the last entries up to index that are at most
+// maxEntries and at most maxBytes in size.
+func (l *entryLog) trailingEntries(index, maxEntries uint64, maxBytes int) uint64 {
+	n, size := uint64(0), 0
+	for n < maxEntries && index-n > l.offset {
+		size += l.entries[index-n-l.offset-1].Size()
+		if size > maxBytes {
+			break
+		}
+		n++
+	}
+	return n
+}
+
 // findConflictByTerm returns the index and term of the last entry at or before index
 // whose term is at most term. Terms never decrease along a log, so a log with an
 // entry of that term at index cannot match this log after the returned entry.
--- a/core/quorum/message.go
+++ b/core/quorum/message.go
@@ -41,8 +41,8 @@
 	ProposalID uint64    `cbor:"7,keyasint,omitempty"`
 }
 
-// size returns the approximate encoded size of e in bytes.
-func (e *Entry) size() int { return len(e.Data) + entryOverheadBytes }
+// Size returns the approximate encoded size of e in bytes.
+func (e *Entry) Size() int { return len(e.Data) + entryOverheadBytes }
 
 const entryOverheadBytes = 32
 
--- a/core/quorum/snapshot.go
+++ b/core/quorum/snapshot.go
@@ -57,6 +57,12 @@
 	return Snapshot{Index: index, Term: term, Membership: r.log.membershipAt(index), Data: state}, nil
 }
 
+// TrailingEntries returns how many of the last entries in the log up to index fit in
+// maxEntries and maxBytes.
+func (r *Replica) TrailingEntries(index, maxEntries uint64, maxBytes int) uint64 {
+	return r.log.trailingEntries(index, maxEntries, maxBytes)
+}
+
 // Compact installs a snapshot that is on disk and removes the entries that it
 // covers, except the last keep ones: with these, a follower that is slightly
 // behind needs no snapshot. It returns the index of the first remaining entry.
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -70,8 +70,11 @@
 	ticks        map[quorum.ReplicaID]chan time.Time
 	registers    map[quorum.ReplicaID]*register
 	isolated     map[quorum.ReplicaID]bool
+	entryBytes   map[quorum.ReplicaID]int // size of the entries sent to each node
 	elapsedTicks int
-	timers       []timer
+	// configure changes the options of nodes that are started; it may be nil.
+	configure func(*Options)
+	timers    []timer
 }
 
 // timer calls f once the cluster has ticked atTick times.
@@ -90,6 +93,11 @@
 func (c *cluster) Send(to quorum.Member, messages []quorum.Message) {
 	c.mu.Lock()
 	node := c.nodes[to.ID]
+	for i := range messages {
+		for j := range messages[i].Entries {
+			c.entryBytes[to.ID] += messages[i].Entries[j].Size()
+		}
+	}
 	lost := c.rng.Float64() < c.lossRate || c.isolated[to.ID] || c.isolated[messages[0].From]
 	c.mu.Unlock()
 	if node != nil && !lost {
@@ -99,10 +107,15 @@
 
 // newCluster starts one voter per store.
 func newCluster(t *testing.T, stores ...Store) *cluster {
+	return newConfiguredCluster(t, nil, stores...)
+}
+
+// newConfiguredCluster is newCluster with changed options.
+func newConfiguredCluster(t *testing.T, configure func(*Options), stores ...Store) *cluster {
 	c := &cluster{
 		t: t, rng: rand.New(rand.NewPCG(1, 1)), isolated: map[quorum.ReplicaID]bool{},
 		nodes: map[quorum.ReplicaID]*Node{}, ticks: map[quorum.ReplicaID]chan time.Time{},
-		registers: map[quorum.ReplicaID]*register{},
+		registers: map[quorum.ReplicaID]*register{}, entryBytes: map[quorum.ReplicaID]int{}, configure: configure,
 	}
 	var members []quorum.Member
 	for _, s := range stores {
@@ -136,10 +149,14 @@
 func (c *cluster) start(s Store) *Node {
 	id := s.Replica()
 	ticks, machine := make(chan time.Time), &register{}
-	n, err := Start(Options{
+	options := Options{
 		Store: s, StateMachine: machine, Transport: c, Ticks: ticks, CallTimeout: time.Hour,
 		Rand: rand.New(rand.NewPCG(uint64(id), 1)), SnapshotEntries: 20, TrailingEntries: 5,
-	})
+	}
+	if c.configure != nil {
+		c.configure(&options)
+	}
+	n, err := Start(options)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -26,9 +26,15 @@
 	CallTimeout time.Duration
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
+	// SnapshotBytes is the size of the applied entries after which a snapshot is taken
+	// even if they are fewer than SnapshotEntries. While the snapshots are large it is
+	// exceeded, see snapshotDueBytes.
+	SnapshotBytes int
 	// TrailingEntries is the number of log entries retained before a snapshot's
 	// index, so that a follower slightly behind needs no snapshot.
 	TrailingEntries uint64
+	// TrailingBytes limits the size of the retained entries.
+	TrailingBytes int
 	// Log may be nil.
 	Log *zap.Logger
 }
@@ -39,8 +45,14 @@
 	DefaultTickInterval    = 100 * time.Millisecond
 	defaultCallTimeout     = 10 * time.Second
 	defaultSnapshotEntries = 4096
+	defaultSnapshotBytes   = 1 << 20
 	defaultTrailingEntries = 1024
+	defaultTrailingBytes   = 1 << 20
 	inboxCapacity          = 256
+	// snapshotSizeFactor is the least ratio of the entries between two snapshots to the
+	// size of a snapshot, so that writing snapshots costs at most a fraction of writing
+	// the log.
+	snapshotSizeFactor = 4
 )
 
 // Node is one running replica. It is safe for concurrent use.
@@ -60,6 +72,8 @@
 	lastRequestID      uint64 // of proposals and reads
 	appliedIndex       uint64
 	snapshotIndex      uint64 // index of the last entry in the latest snapshot
+	snapshotBytes      int    // size of the latest snapshot
+	appliedBytes       int    // size of the entries applied since the latest snapshot
 	fatalErr           error  // stops the replica when set
 	submittedProposals map[uint64]*proposal
 	queuedProposals    []*proposal // not yet submitted: no leader accepts proposals
@@ -98,6 +112,7 @@
 		inbox: make(chan []quorum.Message, inboxCapacity), loopCalls: make(chan func()),
 		stopRequested: make(chan struct{}), done: make(chan struct{}), changed: make(chan struct{}),
 		lastRequestID: o.Rand.Uint64(), appliedIndex: state.Snapshot.Index, snapshotIndex: state.Snapshot.Index,
+		snapshotBytes:      len(state.Snapshot.Data),
 		submittedProposals: make(map[uint64]*proposal), pendingReads: make(map[uint64]*pendingRead),
 	}
 	n.log.Info("Started the replica.", zap.Stringer("replica", o.Store.Replica()), zap.Uint64("snapshot", state.Snapshot.Index),
@@ -113,9 +128,15 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = defaultSnapshotBytes
+	}
 	if o.TrailingEntries == 0 {
 		o.TrailingEntries = defaultTrailingEntries
 	}
+	if o.TrailingBytes == 0 {
+		o.TrailingBytes = defaultTrailingBytes
+	}
 	if o.TickInterval == 0 {
 		o.TickInterval = DefaultTickInterval
 	}
@@ -266,6 +287,7 @@
 		}
 	}
 	n.appliedIndex, n.snapshotIndex = s.Index, s.Index
+	n.appliedBytes, n.snapshotBytes = 0, len(s.Data)
 	n.log.Info("Installed the leader's snapshot.", zap.Uint64("index", s.Index), zap.Int("bytes", len(s.Data)))
 	n.notifyWaiters()
 	// The snapshot may cover the proposals' entries, whose results are then lost.
@@ -282,6 +304,7 @@
 		n.notifyWaiters()
 	}
 	n.appliedIndex = e.Index
+	n.appliedBytes += e.Size()
 	n.counters.Applied++
 	if p := n.submittedProposals[e.ProposalID]; p != nil && e.Proposer == n.options.Store.Replica() {
 		delete(n.submittedProposals, e.ProposalID)
@@ -289,10 +312,20 @@
 	}
 }
 
-// compactIfDue takes a snapshot and compacts the log if SnapshotEntries entries were
-// applied since the last snapshot.
+// isSnapshotDue reports whether the entries applied since the last snapshot are so many
+// or so large that a replica with an empty disk would take long to replay them.
+func (n *Node) isSnapshotDue() bool {
+	return n.appliedIndex >= n.snapshotIndex+n.options.SnapshotEntries || n.appliedBytes >= n.snapshotDueBytes()
+}
+
+// snapshotDueBytes returns the size of the applied entries at which a snapshot is due.
+func (n *Node) snapshotDueBytes() int {
+	return max(n.options.SnapshotBytes, snapshotSizeFactor*n.snapshotBytes)
+}
+
+// compactIfDue takes a snapshot and compacts the log if a snapshot is due.
 func (n *Node) compactIfDue() error {
-	if n.appliedIndex < n.snapshotIndex+n.options.SnapshotEntries {
+	if !n.isSnapshotDue() {
 		return nil
 	}
 	state, err := n.options.StateMachine.Snapshot()
@@ -303,14 +336,14 @@
 	if err != nil {
 		return err
 	}
-	first := snapshot.Index + 1 - min(snapshot.Index, n.options.TrailingEntries)
-	if err := n.options.Store.Compact(snapshot, first); err != nil {
+	trailing := n.raft.TrailingEntries(snapshot.Index, n.options.TrailingEntries, n.options.TrailingBytes)
+	if err := n.options.Store.Compact(snapshot, snapshot.Index+1-trailing); err != nil {
 		return err
 	}
-	n.raft.Compact(snapshot, n.options.TrailingEntries)
-	n.snapshotIndex = snapshot.Index
+	n.raft.Compact(snapshot, trailing)
+	n.snapshotIndex, n.snapshotBytes, n.appliedBytes = snapshot.Index, len(state), 0
 	n.counters.Snapshots++
-	n.log.Info("Took a snapshot.", zap.Uint64("index", snapshot.Index), zap.Int("bytes", len(state)))
+	n.log.Info("Took a snapshot.", zap.Uint64("index", snapshot.Index), zap.Int("bytes", len(state)), zap.Uint64("trailing_entries", trailing))
 	return nil
 }
 
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -139,6 +139,40 @@
 	is.Equal(c.registers[member.ID].current(), uint64(100))
 }
 
+// Guards against a log that grows with the size of its commands: a replica with an empty
+// disk replayed every version of a large document, and the group lost its quorum with the
+// next disks.
+func TestReplicaWithEmptyDiskReplaysFewLargeCommands(t *testing.T) {
+	const commands, commandBytes = 60, 256 << 10
+	// A log may hold what is applied between two snapshots, what is retained before a
+	// snapshot, and the command that makes the snapshot due.
+	const maxLogBytes = defaultSnapshotBytes + defaultTrailingBytes + 2*commandBytes
+	is := is.New(t)
+	ctx := context.Background()
+	c := newConfiguredCluster(t, func(o *Options) { o.SnapshotEntries, o.TrailingEntries = 0, 0 }, memoryStores(t, 3)...)
+	for i := range uint64(commands) {
+		leader := c.awaitLeader()
+		is.NoErr(c.tickDuring("proposal", func() error {
+			_, err := leader.Propose(ctx, append(encode(i), make([]byte, commandBytes)...))
+			return err
+		}))
+	}
+	lost := c.awaitFollower().options.Store.Replica()
+	c.kill(lost)
+	emptyStore := memoryStores(t, 1)[0]
+	learner := c.start(emptyStore)
+	member := quorum.Member{ID: emptyStore.Replica(), Name: "vm-3"}
+	leader := c.awaitLeader()
+	is.NoErr(c.tickDuring("add", func() error { return leader.AddLearner(ctx, member) }))
+	c.tickUntil("promotion", func() bool { return leader.PromoteLearner(ctx, member.ID) == nil })
+	is.NoErr(c.tickDuring("read", func() error { return learner.ReadIndex(ctx) }))
+	is.Equal(c.registers[member.ID].current(), uint64(commands-1))
+	is.True(leader.Status().LogBytes <= maxLogBytes)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	is.True(c.entryBytes[member.ID] <= maxLogBytes)
+}
+
 func TestStopTransfersLeadership(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, memoryStores(t, 3)...)
