Keep the services that open flows belong to when a document drops them

Cause: a listener's previous services were kept only where the next document named them. Control withdrew the service and its view, so the balancers' search had nobody to ask but the members of the new service, and was complete with their answers.

Change: a service that a document no longer names is retired while a listener that goes on has assigned flows to it: it keeps its ID, its item and its view, with weight 0, for ten minutes (flows live 60 s) and until the next change after them. Related paths: a removal by the operators' own patch, a listener that moves twice, and a service that is named again, which keeps its ID; AvailableMembers no longer counts members that get no new flows.

--- a/core/fleet/document.go
+++ b/core/fleet/document.go
@@ -37,6 +37,8 @@
 	Exceptions []Exception `cbor:"3,keyasint" json:"exceptions"`
 	// Listeners are sorted by address. Only imports set them.
 	Listeners []Listener `cbor:"4,keyasint,omitempty" json:"listeners,omitempty"`
+	// RetiredServices are sorted by name. The StateMachine maintains them.
+	RetiredServices []RetiredService `cbor:"5,keyasint,omitempty" json:"retired,omitempty"`
 }
 
 // Service is the configuration of one service.
@@ -125,6 +127,11 @@
 	for i := range d.Exceptions {
 		d.Exceptions[i].ExpiresAt = truncateToSeconds(d.Exceptions[i].ExpiresAt)
 	}
+	d.RetiredServices = nilIfEmpty(d.RetiredServices)
+	for i := range d.RetiredServices {
+		d.RetiredServices[i].Service.normalize()
+		d.RetiredServices[i].RetiredAt = truncateToSeconds(d.RetiredServices[i].RetiredAt)
+	}
 }
 
 func (s *Service) normalize() {
--- a/core/fleet/import.go
+++ b/core/fleet/import.go
@@ -57,7 +57,8 @@
 		return m.invalidResult(problems...)
 	}
 	m.assignIDs(c.Document)
-	recordPreviousServices(m.document, c.Document)
+	recordPreviousServices(m.document, c.Document, c.ProposedAt)
+	retireServices(m.document, c.Document, c.ProposedAt)
 	m.document = c.Document
 	m.activeImport = *c.Import
 	m.version++
@@ -70,8 +71,8 @@
 const maxPreviousServices = 8
 
 // recordPreviousServices sets the PreviousServices of the listeners in next from the
-// listeners in previous. The listeners of both are sorted by address.
-func recordPreviousServices(previous, next *Document) {
+// listeners in previous, at time now. The listeners of both are sorted by address.
+func recordPreviousServices(previous, next *Document, now time.Time) {
 	listeners := previous.Listeners
 	for i := range next.Listeners {
 		l := &next.Listeners[i]
@@ -80,14 +81,17 @@
 		}
 		l.PreviousServices = nil
 		if len(listeners) > 0 && listeners[0].Address == l.Address {
-			l.PreviousServices = previousServices(&listeners[0], l, next)
+			l.PreviousServices = previousServices(&listeners[0], l, func(name string) bool {
+				_, ok := previous.retire(name, now)
+				return ok || next.Service(name) != nil
+			})
 		}
 	}
 }
 
-// previousServices returns the existing services that listener previous has, or had
-// earlier, and listener next has not.
-func previousServices(previous, next *Listener, d *Document) []string {
+// previousServices returns the services that listener previous has, or had earlier, that
+// listener next has not, and that may still have flows.
+func previousServices(previous, next *Listener, mayHaveFlows func(name string) bool) []string {
 	names := make([]string, 0, len(previous.WeightedServices)+len(previous.PreviousServices))
 	for _, w := range previous.WeightedServices {
 		names = append(names, w.Service)
@@ -95,7 +99,7 @@
 	names = append(names, previous.PreviousServices...)
 	names = slices.DeleteFunc(names, func(name string) bool {
 		isCurrent := func(w WeightedService) bool { return w.Service == name }
-		return d.Service(name) == nil || slices.ContainsFunc(next.WeightedServices, isCurrent)
+		return !mayHaveFlows(name) || slices.ContainsFunc(next.WeightedServices, isCurrent)
 	})
 	return nilIfEmpty(names[:min(len(names), maxPreviousServices)])
 }
--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -162,6 +162,7 @@
 func (m *StateMachine) installDocument(c *Command, next *Document) Result {
 	// Only imports change listeners.
 	next.Listeners = m.document.Listeners
+	retireServices(m.document, next, c.ProposedAt)
 	if problems := next.Validate(); len(problems) > 0 {
 		return m.invalidResult(problems...)
 	}
@@ -188,14 +189,23 @@
 		}
 		switch {
 		case len(previous) == 0 || previous[0].Name != s.Name:
-			s.ID = m.nextServiceID
-			m.nextServiceID++
+			s.ID = m.newServiceID(s.Name)
 		case s.ID != previous[0].ID:
 			s.ID = previous[0].ID
 		}
 	}
 }
 
+// newServiceID returns the ID of a service that the current document does not name.
+func (m *StateMachine) newServiceID(name string) view.ServiceID {
+	if id := m.document.retiredID(name); id != 0 {
+		return id
+	}
+	id := m.nextServiceID
+	m.nextServiceID++
+	return id
+}
+
 func (m *StateMachine) findDrain(backendServer string) (int, bool) {
 	return slices.BinarySearchFunc(m.drains, backendServer, func(d Drain, name string) int {
 		return cmp.Compare(d.BackendServer, name)
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -79,9 +79,10 @@
 }
 
 func (s *Snapshot) checkIDs() error {
-	seen := make(map[view.ServiceID]bool, len(s.Document.Services))
-	for i := range s.Document.Services {
-		service := &s.Document.Services[i]
+	services := s.Document.AllServices()
+	seen := make(map[view.ServiceID]bool, len(services))
+	for i := range services {
+		service := &services[i]
 		if service.ID == 0 || service.ID >= s.NextServiceID || seen[service.ID] {
 			return ErrInvalidSnapshot.New("service %q has ID %d, which is zero, a duplicate or not below the next ID %d",
 				service.Name, service.ID, s.NextServiceID)
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -143,6 +143,9 @@
 func (t *Table) AvailableMembers(addr netip.AddrPort) int {
 	n := 0
 	for _, ws := range t.routes[addr] {
+		if ws.Weight == 0 {
+			continue
+		}
 		for i := range t.members[ws.Service] {
 			if t.members[ws.Service][i].acceptsNew {
 				n++
--- a/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -109,7 +109,8 @@
 	c.registry.SetDrained(drained)
 	c.pending = &pending{revision: m.Revision(), due: now.Add(settleTime)}
 	c.options.Log.Info("Adopted a configuration.",
-		zap.Uint64("version", m.Version()), zap.Uint64("revision", m.Revision()), zap.Int("services", len(services)))
+		zap.Uint64("version", m.Version()), zap.Uint64("revision", m.Revision()), zap.Int("services", len(services)),
+		zap.Int("retired", len(c.configuration.document.RetiredServices)))
 }
 
 // effectiveServices returns what daemons are told of all services.
@@ -125,9 +126,11 @@
 			inbound[name] = append(inbound[name], proto.Inbound{Addr: l.Address})
 		}
 	}
-	services := make([]proto.Service, len(document.Services))
-	for i := range document.Services {
-		services[i] = c.service(&document.Services[i])
+	// Retired services stay published: their backend servers may hold open flows.
+	all := document.AllServices()
+	services := make([]proto.Service, len(all))
+	for i := range all {
+		services[i] = c.service(&all[i])
 		services[i].Inbound = inbound[services[i].Name]
 	}
 	return services
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -74,6 +74,7 @@
 // responds to data with its name.
 type backendServer struct {
 	name     string
+	service  string
 	conn     *net.UDPConn
 	outbound netip.AddrPort
 	mu       sync.Mutex
@@ -123,6 +124,16 @@
 }
 
 func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := newFleetWithStore(t, nil)
+	f.control.SetServices([]proto.Service{{
+		ID: 1, Name: "desk", Mode: proto.ModeSegment, Inbound: []proto.Inbound{{Addr: f.serviceAddr, Weight: 1}},
+	}})
+	return f
+}
+
+// newFleetWithStore returns a fleet whose services are those of a replicated state.
+func newFleetWithStore(t *testing.T, store control.Fleet) *fleet {
 	t.Helper()
 	f := &fleet{t: t, serviceAddr: netip.MustParseAddrPort("198.18.0.1:443"), callerAddr: freeAddr(t)}
 	var err error
@@ -131,15 +142,12 @@
 	}
 	f.control, err = control.Start(control.Options{
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Epoch: 1, Collect: 10 * time.Millisecond, Now: time.Now,
-		TLS: f.identity("control").ServerTLSFor([]keys.Role{keys.Balancer, keys.Agent}, peer.Protocol), Log: zap.NewNop(),
+		TLS: f.identity("control").ServerTLSFor([]keys.Role{keys.Balancer, keys.Agent}, peer.Protocol), Log: zap.NewNop(), Fleet: store,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = f.control.Close() })
-	f.control.SetServices([]proto.Service{{
-		ID: 1, Name: "desk", Mode: proto.ModeSegment, Inbound: []proto.Inbound{{Addr: f.serviceAddr, Weight: 1}},
-	}})
 	return f
 }
 
@@ -201,13 +209,18 @@
 
 // startBackend starts a backend server and the agent beside it.
 func (f *fleet) startBackend(name string) (*backendServer, *segment.Agent) {
+	f.t.Helper()
+	return f.startBackendOf("desk", name)
+}
+
+func (f *fleet) startBackendOf(service, name string) (*backendServer, *segment.Agent) {
 	f.t.Helper()
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(func() { _ = conn.Close() })
-	h := &backendServer{name: name, conn: conn, outbound: freeAddr(f.t), flows: make(map[flow.Tuple]bool)}
+	h := &backendServer{name: name, service: service, conn: conn, outbound: freeAddr(f.t), flows: make(map[flow.Tuple]bool)}
 	go h.run()
 	return h, f.startAgent(h)
 }
@@ -215,7 +228,7 @@
 func (f *fleet) startAgent(h *backendServer) *segment.Agent {
 	f.t.Helper()
 	a, err := segment.StartAgent(segment.AgentOptions{
-		CommonOptions: f.commonOptions("agent-" + h.name), Service: "desk", BackendAddr: h.addr(), OutboundAddr: h.outbound,
+		CommonOptions: f.commonOptions("agent-" + h.name), Service: h.service, BackendAddr: h.addr(), OutboundAddr: h.outbound,
 		BackendSilenceTimeout: waitTimeout, IdleTimeout: time.Minute,
 	})
 	if err != nil {
@@ -231,7 +244,7 @@
 
 // report returns a report of the backend server.
 func (h *backendServer) report(sequence uint64) segment.BackendReport {
-	return segment.BackendReport{ID: h.name, Service: "desk", Address: h.addr(), Incarnation: 1, Sequence: sequence, Slots: 4}
+	return segment.BackendReport{ID: h.name, Service: h.service, Address: h.addr(), Incarnation: 1, Sequence: sequence, Slots: 4}
 }
 
 func (f *fleet) waitFor(what string, done func() bool) {
