Ignore reports that cannot come from the backend server beside the agent

Operators of a similar system report that one odd entry of another writer, deeply nested, with a number too large or a port out of range, ended the machines that read it, or made them stop following. Looked for here: nesting, numbers that fit no field and ports out of range were refused already, and a process goes on. But a report whose start (born) lies far ahead, or whose sequence number does not fit an announcement, was applied; after it each report of the real backend server counted as older and was refused, so its lease ran out while it served. A start of 2^64-1 was even read as a time before 1970.

TestReportOfAnotherWriterChangesNothing fails without it, and so does the case "start too large for a time" of TestMalformedReportsAreRejected. The latter now holds the odd entries of the report, too. TestReportAfterDeregistrationIsStale used a start in the year 2027; it uses one in the past now, which changes nothing of what it checks.

--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -16,16 +17,44 @@
 // that count the announcements of one report.
 const announcementBits = 24
 
+const (
+	// maxReportSequence is the greatest sequence number of a report that fits beside the
+	// low bits.
+	maxReportSequence = 1<<(64-announcementBits) - 1
+	// maxClockLead is how far ahead of this process's clock a backend server's start may
+	// lie. It allows for clocks that differ and jump.
+	maxClockLead = time.Hour
+)
+
+// checkReport rejects a report that cannot come from the backend server beside this
+// agent. If one with an impossible start or sequence number were applied, each report of
+// the real backend server would be older than it. The caller holds the lock.
+func (a *Agent) checkReport(r *BackendReport) error {
+	switch {
+	case r.Address != a.options.BackendAddr:
+		return ErrInvalidReport.New("backend server %q is at %s, not beside this agent at %s", r.ID, r.Address, a.options.BackendAddr)
+	case r.Incarnation == 0:
+		return ErrInvalidReport.New("report %d of %q is of run 0", r.Sequence, r.ID)
+	case r.Sequence > maxReportSequence:
+		return ErrInvalidReport.New("report %d of %q is above %d", r.Sequence, r.ID, uint64(maxReportSequence))
+	case r.StartedAt.Sub(a.options.Now()) > maxClockLead:
+		return ErrInvalidReport.New("start of %q at %s lies in the future", r.ID, r.StartedAt)
+	case r.Incarnation == a.report.Incarnation && r.Service != a.report.Service:
+		return ErrInvalidReport.New("run %d of %q serves %q, not %q", r.Incarnation, r.ID, a.report.Service, r.Service)
+	}
+	return nil
+}
+
 // HandleReport applies a report of the backend server. It returns an error of type
-// ErrInvalidReport if the report is not from the backend server beside this agent,
+// ErrInvalidReport if the report cannot be from the backend server beside this agent,
 // and one of type ErrStaleReport if the report is older than the latest one, or of a
 // start of the backend server that has deregistered.
 func (a *Agent) HandleReport(r BackendReport) error {
-	if r.Address != a.options.BackendAddr {
-		return ErrInvalidReport.New("backend server %q is at %s, not beside this agent at %s", r.ID, r.Address, a.options.BackendAddr)
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if err := a.checkReport(&r); err != nil {
+		return err
+	}
 	previous := a.report
 	switch {
 	case r.Incarnation < previous.Incarnation:
