Let an address belong to one backend server across services

Cause: the registry marked a member whose address was taken only within one service, so until the end of its lease each view of the former service listed the old member at that address. Each such view took the address from the new member in the balancers' tables, whatever the order of the views; the search for its flows then asked everybody else, and reset.

Change: the registry keeps the holder of each address. A start or a move takes it, a renewal does not while the holder has a lease. Balancers let the newer of two views have the address.

--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -24,6 +24,7 @@
 type Registry struct {
 	options      Options
 	members      map[string]*member
+	holders      addressHolders
 	services     map[view.ServiceID]*service
 	serviceIDs   []view.ServiceID // keys of services, sorted
 	drainedIDs   map[string]bool
@@ -66,6 +67,7 @@
 	return &Registry{
 		options:    o,
 		members:    make(map[string]*member),
+		holders:    make(addressHolders),
 		services:   make(map[view.ServiceID]*service),
 		drainedIDs: make(map[string]bool),
 	}
@@ -115,6 +117,7 @@
 			m.phase = view.Ready
 		}
 		s.members[b.ID], r.members[b.ID] = m, m
+		r.holders[b.Packets] = m
 		r.hasSurvivors = true
 	}
 	if s.currentView == nil || v.Version.Newer(s.currentView.Version) {
@@ -154,6 +157,7 @@
 	if m.phase == view.Joining && a.BackendTracksFlows {
 		m.phase = view.Warming
 	}
+	r.claimAddress(now, m, &a)
 	r.renewLease(now, m, a)
 	r.hasSurvivors = r.hasSurvivors || m.wasListed
 	r.recordAnnounced(a.Packets)
@@ -174,13 +178,7 @@
 		m.phase = view.Ready // it was a member in the previous epoch
 	}
 	r.members[a.ID] = m
-	s := r.ensureService(id)
-	s.members[a.ID] = m
-	for _, other := range s.members {
-		if other != m && other.announcement.Packets == a.Packets {
-			other.addressReassigned = true
-		}
-	}
+	r.ensureService(id).members[a.ID] = m
 	return m
 }
 
@@ -216,7 +214,7 @@
 		m.phase, m.phaseStart = view.Warming, now
 		s.dirty = true
 	}
-	m.announcement, m.announcedAt, m.addressReassigned = a, now, false
+	m.announcement, m.announcedAt = a, now
 }
 
 func (r *Registry) ensureService(id view.ServiceID) *service {
@@ -290,6 +288,7 @@
 	s := r.services[m.service]
 	delete(s.members, m.id)
 	delete(r.members, m.id)
+	r.holders.release(m)
 	s.dirty = true
 }
 
@@ -299,8 +298,9 @@
 	if s == nil {
 		return
 	}
-	for member := range s.members {
-		delete(r.members, member)
+	for id, m := range s.members {
+		delete(r.members, id)
+		r.holders.release(m)
 	}
 	delete(r.services, id)
 	i, _ := slices.BinarySearch(r.serviceIDs, id)
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -31,9 +31,10 @@
 	weight     uint32
 	slots      uint16
 	acceptsNew bool
-	// epoch, firstAccepting and acceptingSince are those of the latest view that has
-	// listed the member, see view.BackendServer.
-	epoch, firstAccepting, acceptingSince uint64
+	// listedBy is the version of the latest view that has listed the member, and
+	// firstAccepting and acceptingSince are those of that view, see view.BackendServer.
+	listedBy                       view.Version
+	firstAccepting, acceptingSince uint64
 	// isGone is set if the view lists the member in state view.Gone.
 	isGone bool
 	// removedAt is when the member was removed from its view; 0 while it is listed.
@@ -65,30 +66,32 @@
 }
 
 // WithView returns a copy of the table with the members of v. Members that v no longer
-// lists are kept for MaxFlowLifetime, unless another member has their address.
+// lists are kept for MaxFlowLifetime, unless another member has their address. Of two
+// members of different services with one address, the one in the newer view has it.
 func (t *Table) WithView(now time.Duration, v *view.View) *Table {
 	next := &Table{
 		routes: t.routes, partialViews: maps.Clone(t.partialViews),
 		members: make(map[view.ServiceID][]member, len(t.members)+1),
 	}
 	next.partialViews[v.Service] = v.Partial
+	lostAddrs := t.addrsOfNewerViews(v)
 	usedAddrs := make(map[netip.AddrPort]bool, len(v.Members))
 	for i := range v.Members {
 		b := &v.Members[i]
-		if b.State != view.Gone {
+		if b.State != view.Gone && !lostAddrs[b.Packets] {
 			usedAddrs[b.Packets] = true
 		}
 	}
 	current := make([]member, 0, len(v.Members))
 	for i := range v.Members {
 		b := &v.Members[i]
-		if b.State == view.Gone && usedAddrs[b.Packets] {
+		if lostAddrs[b.Packets] || b.State == view.Gone && usedAddrs[b.Packets] {
 			continue
 		}
 		current = append(current, member{
 			peer: flow.PeerOf(v, i), service: v.Service, id: b.ID, zone: b.Zone,
 			weight: b.Weight, slots: max(b.Slots, 1), acceptsNew: b.AcceptsNewFlows(), isGone: b.State == view.Gone,
-			epoch: v.Version.Epoch, firstAccepting: b.FirstAccepting, acceptingSince: b.AcceptingSince,
+			listedBy: v.Version, firstAccepting: b.FirstAccepting, acceptingSince: b.AcceptingSince,
 		})
 	}
 	for id, members := range t.members {
@@ -101,6 +104,24 @@
 	return next
 }
 
+// addrsOfNewerViews returns the addresses of the listed members of other services that
+// come from newer views than v.
+func (t *Table) addrsOfNewerViews(v *view.View) map[netip.AddrPort]bool {
+	addrs := make(map[netip.AddrPort]bool)
+	for service, members := range t.members {
+		if service == v.Service {
+			continue
+		}
+		for i := range members {
+			m := &members[i]
+			if !m.isGone && m.removedAt == 0 && m.listedBy.Newer(v.Version) {
+				addrs[m.peer.Addr] = true
+			}
+		}
+	}
+	return addrs
+}
+
 func indexMembers(members map[view.ServiceID][]member) map[view.ServiceID]map[uint64]*member {
 	out := make(map[view.ServiceID]map[uint64]*member, len(members))
 	for service, list := range members {
