Bootstrap a replica whose disk was full at first

Operators of a similar system report disks of control that were full for a few seconds, one after another; long after the last had room again, changes were refused or unanswered while all processes ran. Looked for here:

- Replicas that run: a failed write stops the replica, and its store is reopened each 0.5 s.
- A founding replica whose disk is full at the moment of the bootstrap logged "The replica does not run." and never ran: a voter less until its process was started again, and with a second one no quorum, while all processes ran.
Its store is reopened and the bootstrap retried now.
TestReplicaBootstrapsOnceItsDiskHasSpace fails without it (the replica did not run within 30 s).

--- a/internal/group/found.go
+++ b/internal/group/found.go
@@ -45,6 +45,7 @@
 	}
 }
 
+// tryBootstrap reports whether bootstrap is over.
 func (g *Group) tryBootstrap(ctx context.Context) bool {
 	next, cluster, founders := decideBootstrap(g.options.ClusterName, g.self, g.identifyPeers(ctx), len(g.options.Peers))
 	switch next {
@@ -53,8 +54,8 @@
 			zap.Stringer("cluster", cluster), zap.Stringer("replica", g.self.ID))
 	case bootstrapCluster:
 		if err := replica.Bootstrap(g.store, cluster, founders.Members...); err != nil {
-			g.options.Log.Error("Could not bootstrap the cluster. The replica does not run.", zap.Error(err))
-			return true
+			g.options.Log.Warn("Could not bootstrap the cluster. Reopening the store and retrying.", zap.Error(err))
+			return !g.replaceFailedStore(ctx)
 		}
 		g.options.Log.Info("Bootstrapped a cluster.", zap.Stringer("cluster", cluster))
 	default:
--- a/internal/group/recover.go
+++ b/internal/group/recover.go
@@ -58,21 +58,47 @@
 // reopenStore retries until the store is open and the replica runs again, or ctx
 // ends, and reports whether it succeeded.
 func (g *Group) reopenStore(ctx context.Context) bool {
+	return g.retryAfterClose(ctx, func(s store) error {
+		n, err := g.newNode(s)
+		if err != nil {
+			return err
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.store, g.node = s, n
+		return nil
+	})
+}
+
+// replaceFailedStore retries until the store of a replica that does not run yet is open
+// again, or ctx ends, and reports whether it succeeded.
+func (g *Group) replaceFailedStore(ctx context.Context) bool {
+	return g.retryAfterClose(ctx, func(s store) error {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.store = s
+		return nil
+	})
+}
+
+// retryAfterClose closes the failed store, and opens it again until use succeeds or ctx
+// ends. It reports whether use has succeeded.
+func (g *Group) retryAfterClose(ctx context.Context, use func(store) error) bool {
 	if err := g.store.Close(); err != nil {
 		g.options.Log.Warn("Could not close the failed store. Reopening it anyway.", zap.Error(err))
 	}
 	for pace.Sleep(ctx, reopenInterval) {
-		err := g.tryReopenStore()
+		err := g.reopenAndUse(use)
 		if err == nil {
-			g.options.Log.Info("Restarted the replica from its reopened store.")
+			g.options.Log.Info("Reopened the store after a failed write.")
 			return true
 		}
-		g.options.Log.Warn("Could not restart the replica from its store. Retrying.", zap.Error(err))
+		g.options.Log.Warn("Could not reopen the store. Retrying.", zap.Error(err))
 	}
 	return false
 }
 
-func (g *Group) tryReopenStore() error {
+func (g *Group) reopenAndUse(use func(store) error) error {
 	s, err := g.options.openStore(disk.Options{Dir: g.options.Dir, RewriteOnOpen: true})
 	if err != nil {
 		return err
@@ -80,15 +106,11 @@
 	if s.Replica() != g.self.ID {
 		err = ErrReplicaMismatch.New("reopened store holds replica %s, expected %s", s.Replica(), g.self.ID)
 	}
-	var n *replica.Node
 	if err == nil {
-		n, err = g.newNode(s)
+		err = use(s)
 	}
 	if err != nil {
-		return errorx.DecorateMany("could not restart the replica", err, s.Close())
+		return errorx.DecorateMany("could not use the reopened store", err, s.Close())
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.store, g.node = s, n
 	return nil
 }
