Show that large commands do not fill the disk

This commit adds the test of this form of it, TestLargeCommandsDoNotFillTheDisk, with a store on disk, its reopening and the rewrite; it fails without the bound (directory larger than the log's bound twice).

--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -173,6 +174,50 @@
 	is.True(c.entryBytes[member.ID] <= maxLogBytes)
 }
 
+// Guards against a log that fills the disk: once it does, no change is accepted any more,
+// and what would compact it needs space itself.
+func TestLargeCommandsDoNotFillTheDisk(t *testing.T) {
+	const commands, commandBytes = 60, 256 << 10
+	// While a log is rewritten, the one before and its successor are on the disk.
+	const maxDiskBytes = 2 * (defaultSnapshotBytes + defaultTrailingBytes + 2*commandBytes)
+	is := is.New(t)
+	dir := t.TempDir()
+	store, err := disk.Open(disk.Options{Dir: dir})
+	is.NoErr(err)
+	c := newConfiguredCluster(t, func(o *Options) { o.SnapshotEntries, o.TrailingEntries = 0, 0 }, store)
+	leader := c.awaitLeader()
+	for i := range uint64(commands) {
+		is.NoErr(c.tickDuring("proposal", func() error {
+			_, err := leader.Propose(context.Background(), append(encode(i), make([]byte, commandBytes)...))
+			return err
+		}))
+		is.True(directorySize(t, dir) <= maxDiskBytes)
+	}
+	c.kill(store.Replica())
+	is.NoErr(store.Close())
+	reopened, err := disk.Open(disk.Options{Dir: dir, RewriteOnOpen: true})
+	is.NoErr(err)
+	is.True(directorySize(t, dir) <= maxDiskBytes)
+	n := c.start(reopened)
+	is.NoErr(c.tickDuring("read", func() error { return n.ReadIndex(context.Background()) }))
+	is.Equal(c.registers[reopened.Replica()].current(), uint64(commands-1))
+}
+
+// directorySize returns the size of all files in a directory.
+func directorySize(t *testing.T, dir string) (size int64) {
+	t.Helper()
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		if info, err := e.Info(); err == nil { // a file may be removed meanwhile
+			size += info.Size()
+		}
+	}
+	return size
+}
+
 func TestStopTransfersLeadership(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, memoryStores(t, 3)...)
