--- a/core/fleet/document.go
+++ b/core/fleet/document.go
@@ -45,7 +45,7 @@
 type Service struct {
 	Name string `cbor:"1,keyasint" json:"name"`
 	// ID is assigned by the StateMachine and never reused. A service that is deleted
-	// and created again gets a new ID.
+	// and created again gets a new ID, unless it was retired meanwhile.
 	ID view.ServiceID `cbor:"2,keyasint" json:"id"`
 	// Addresses are the addresses at which callers reach the service. Each address
 	// belongs to one service.
