Name what stopped a reader: where a member is listed, a lag's unit, a retired service

Reading the whole change again, three names needed the code below them: listedBy held a version, not a lister (listedIn now); maxPromotionLag had no unit beside maxPromotionLagBytes (maxPromotionLagEntries now); Document.retire changes nothing (asRetired now). WithView was long; what lists the members of a view is a function of its own.

--- a/core/fleet/import.go
+++ b/core/fleet/import.go
@@ -82,7 +82,7 @@
 		l.PreviousServices = nil
 		if len(listeners) > 0 && listeners[0].Address == l.Address {
 			l.PreviousServices = previousServices(&listeners[0], l, func(name string) bool {
-				_, ok := previous.retire(name, now)
+				_, ok := previous.asRetired(name, now)
 				return ok || next.Service(name) != nil
 			})
 		}
--- a/core/fleet/retired.go
+++ b/core/fleet/retired.go
@@ -42,9 +42,10 @@
 	return all
 }
 
-// retire returns a service of the document as retired at time now. It returns false if
-// the document has no such service, or if its retirement is over.
-func (d *Document) retire(name string, now time.Time) (RetiredService, bool) {
+// asRetired returns a service of the document as one that is retired at time now, or
+// that was retired earlier. It returns false if the document has no such service, or if
+// its retirement is over.
+func (d *Document) asRetired(name string, now time.Time) (RetiredService, bool) {
 	if s := d.Service(name); s != nil {
 		return RetiredService{Service: *s, RetiredAt: now}, true
 	}
@@ -65,7 +66,7 @@
 				continue
 			}
 			seen[name] = true
-			if r, ok := previous.retire(name, now); ok {
+			if r, ok := previous.asRetired(name, now); ok {
 				next.RetiredServices = append(next.RetiredServices, r)
 			}
 		}
--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -3,8 +3,8 @@
 // A learner may lag behind the leader by this much when it is promoted, so that commits
 // do not wait long for it (thesis, 4.2.1). A single entry may exceed the bytes.
 const (
-	maxPromotionLag      = 100     // entries
-	maxPromotionLagBytes = 1 << 20 // bytes
+	maxPromotionLagEntries = 100     // entries
+	maxPromotionLagBytes   = 1 << 20 // bytes
 )
 
 // ProposeChange proposes one membership change. Only the leader accepts it, one
@@ -58,7 +58,7 @@
 		return false
 	}
 	lag := r.log.lastIndex() - p.Match
-	return lag <= maxPromotionLag && lag == uint64(len(r.log.entriesFrom(p.Match+1, maxPromotionLagBytes)))
+	return lag <= maxPromotionLagEntries && lag == uint64(len(r.log.entriesFrom(p.Match+1, maxPromotionLagBytes)))
 }
 
 // syncProgress matches the progress list to the other members of the active
--- a/core/routing/possible.go
+++ b/core/routing/possible.go
@@ -42,7 +42,7 @@
 	if !m.acceptsNew || m.acceptingSince == 0 {
 		return
 	}
-	a.epoch = m.listedBy.Epoch // that of the view, as it lists every member that accepts new flows
+	a.epoch = m.listedIn.Epoch // that of the view, as it lists every member that accepts new flows
 	i, _ := slices.BinarySearch(a.since, m.acceptingSince)
 	a.since = slices.Insert(a.since, i, m.acceptingSince)
 	a.since = a.since[:min(len(a.since), maxPlacementCandidates+searchMargin)]
@@ -51,7 +51,7 @@
 // excludeOwner reports whether enough of the members have accepted new flows in every
 // view that placed flows on m.
 func (a *acceptingMembers) excludeOwner(m *member) bool {
-	if m.firstAccepting == 0 || m.listedBy.Epoch != a.epoch || len(a.since) < maxPlacementCandidates+searchMargin {
+	if m.firstAccepting == 0 || m.listedIn.Epoch != a.epoch || len(a.since) < maxPlacementCandidates+searchMargin {
 		return false
 	}
 	return a.since[len(a.since)-1] <= m.firstAccepting
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -31,9 +31,9 @@
 	weight     uint32
 	slots      uint16
 	acceptsNew bool
-	// listedBy is the version of the latest view that has listed the member, and
+	// listedIn is the version of the latest view that has listed the member, and
 	// firstAccepting and acceptingSince are those of that view, see view.BackendServer.
-	listedBy                       view.Version
+	listedIn                       view.Version
 	firstAccepting, acceptingSince uint64
 	// isGone is set if the view lists the member in state view.Gone.
 	isGone bool
@@ -82,26 +82,33 @@
 			usedAddrs[b.Packets] = true
 		}
 	}
-	current := make([]member, 0, len(v.Members))
+	current := listedMembers(v, usedAddrs, lostAddrs)
+	for id, members := range t.members {
+		if id != v.Service {
+			next.members[id] = slices.DeleteFunc(slices.Clone(members), func(m member) bool { return usedAddrs[m.peer.Addr] })
+		}
+	}
+	next.members[v.Service] = append(current, removedMembers(now, t.members[v.Service], current, usedAddrs)...)
+	next.bySeed = indexMembers(next.members)
+	return next
+}
+
+// listedMembers returns the members that v lists, except those whose address a newer view
+// of another service has, and those in state view.Gone whose address is in use again.
+func listedMembers(v *view.View, usedAddrs, lostAddrs map[netip.AddrPort]bool) []member {
+	listed := make([]member, 0, len(v.Members))
 	for i := range v.Members {
 		b := &v.Members[i]
 		if lostAddrs[b.Packets] || b.State == view.Gone && usedAddrs[b.Packets] {
 			continue
 		}
-		current = append(current, member{
+		listed = append(listed, member{
 			peer: flow.PeerOf(v, i), service: v.Service, id: b.ID, zone: b.Zone,
 			weight: b.Weight, slots: max(b.Slots, 1), acceptsNew: b.AcceptsNewFlows(), isGone: b.State == view.Gone,
-			listedBy: v.Version, firstAccepting: b.FirstAccepting, acceptingSince: b.AcceptingSince,
+			listedIn: v.Version, firstAccepting: b.FirstAccepting, acceptingSince: b.AcceptingSince,
 		})
 	}
-	for id, members := range t.members {
-		if id != v.Service {
-			next.members[id] = slices.DeleteFunc(slices.Clone(members), func(m member) bool { return usedAddrs[m.peer.Addr] })
-		}
-	}
-	next.members[v.Service] = append(current, removedMembers(now, t.members[v.Service], current, usedAddrs)...)
-	next.bySeed = indexMembers(next.members)
-	return next
+	return listed
 }
 
 // addrsOfNewerViews returns the addresses of the listed members of other services that
@@ -114,7 +121,7 @@
 		}
 		for i := range members {
 			m := &members[i]
-			if !m.isGone && m.removedAt == 0 && m.listedBy.Newer(v.Version) {
+			if !m.isGone && m.removedAt == 0 && m.listedIn.Newer(v.Version) {
 				addrs[m.peer.Addr] = true
 			}
 		}
