Agree the interfaces of zones, contention, uneven servers and recovery

Cause: four parts are built at the same time and meet in load reports, the items that daemons follow and the durable state.

--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -145,6 +145,16 @@
 	Comment       string    `cbor:"4,keyasint" json:"comment,omitempty"`
 }
 
+// Evacuation excludes the backend servers of an availability zone from new flows. It
+// remains until an operator ends it, whatever documents are applied or imported.
+type Evacuation struct {
+	Zone       string    `cbor:"1,keyasint" json:"zone"`
+	Author     string    `cbor:"2,keyasint" json:"author,omitempty"`
+	ProposedAt time.Time `cbor:"3,keyasint" json:"at"`
+	// Reason is the operator's explanation. It is mandatory.
+	Reason string `cbor:"4,keyasint" json:"reason"`
+}
+
 // Limits of a command.
 const (
 	maxTextLength = 1_000 // bytes, of request ID, author and comment each
--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -19,7 +19,8 @@
 	version          uint64
 	revision         uint64
 	nextServiceID    view.ServiceID
-	drains           []Drain // sorted by backend server
+	drains           []Drain      // sorted by backend server
+	evacuations      []Evacuation // sorted by zone
 	history          *history
 	resultCache      *resultCache
 	lastIndex        uint64
@@ -54,6 +55,9 @@
 // Drains returns the drains, sorted by backend server. Treat them as read-only.
 func (m *StateMachine) Drains() []Drain { return m.drains }
 
+// Evacuations returns the evacuations, sorted by zone. Treat them as read-only.
+func (m *StateMachine) Evacuations() []Evacuation { return m.evacuations }
+
 // History returns the entries of the stored versions, oldest first. Treat their
 // content as read-only.
 func (m *StateMachine) History() []HistoryEntry { return slices.Clone(m.history.entries) }
--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -15,6 +15,16 @@
 	Flows uint32 `cbor:"1,keyasint"`
 	// RunningRequests is the number of requests whose response is pending.
 	RunningRequests uint32 `cbor:"2,keyasint"`
+	// ServiceTime is the estimated time in microseconds that a request occupies a slot;
+	// 0 while it is unknown.
+	ServiceTime uint32 `cbor:"3,keyasint,omitempty"`
+	// IsCold is set while the backend server warms up under a limit of new flows.
+	// NewFlowAllowance is the number of new flows that it accepts at the moment.
+	IsCold           bool   `cbor:"4,keyasint,omitempty"`
+	NewFlowAllowance uint16 `cbor:"5,keyasint,omitempty"`
+	// IsUnfit is set while the agent judges that its backend server cannot serve new
+	// flows, whatever its health check says.
+	IsUnfit bool `cbor:"6,keyasint,omitempty"`
 }
 
 const (
--- a/internal/proto/item.go
+++ b/internal/proto/item.go
@@ -22,6 +22,9 @@
 	viewPrefix    = "view/"
 )
 
+// ZonesKey is the key of the item that holds a Zones.
+const ZonesKey = "zones"
+
 // ServiceKey returns the key of a service's configuration.
 func ServiceKey(name string) string { return servicePrefix + name }
 
@@ -39,6 +42,11 @@
 	return item(ViewKey(name), version, v)
 }
 
+// ZonesItem encodes what operators have ordered of availability zones.
+func ZonesItem(z Zones, version view.Version) (dissemination.Item, error) {
+	return item(ZonesKey, version, z)
+}
+
 func item(key string, version view.Version, content any) (dissemination.Item, error) {
 	body, err := cbor.Marshal(content)
 	if err != nil {
@@ -54,6 +62,9 @@
 	Removed  []string
 	// Views are new or changed. The view of a removed service goes with it.
 	Views []*view.View
+	// Zones is what operators have ordered of availability zones; nil if it has not
+	// changed.
+	Zones *Zones
 }
 
 // Add decodes an item into u.
@@ -68,6 +79,12 @@
 		}
 		s.Version = it.Version
 		u.Services = append(u.Services, s)
+	case it.Key == ZonesKey && !it.Deleted:
+		var z Zones
+		if err := cbor.Unmarshal(it.Body, &z); err != nil {
+			return BadItem.Wrap(err, "decode %q at %v", it.Key, it.Version)
+		}
+		u.Zones = &z
 	case strings.HasPrefix(it.Key, viewPrefix) && !it.Deleted:
 		v := &view.View{}
 		if err := cbor.Unmarshal(it.Body, v); err != nil {
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -68,6 +68,18 @@
 type Inbound struct {
 	Addr   netip.AddrPort `cbor:"1,keyasint"`
 	Weight uint32         `cbor:"2,keyasint"`
+	// Timeout, Objective, Urgency and Idempotent are those of the listener, see
+	// fleet.Listener. They are zero at weight 0.
+	Timeout    time.Duration `cbor:"3,keyasint,omitempty"`
+	Objective  time.Duration `cbor:"4,keyasint,omitempty"`
+	Urgency    uint8         `cbor:"5,keyasint,omitempty"`
+	Idempotent bool          `cbor:"6,keyasint,omitempty"`
+}
+
+// Zones is what operators have ordered of availability zones.
+type Zones struct {
+	// Evacuated are the zones whose backend servers get no new flows, sorted.
+	Evacuated []string `cbor:"1,keyasint,omitempty"`
 }
 
 // Equal reports whether both tell daemons the same.
--- a/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -120,7 +120,10 @@
 	for i := range document.Listeners {
 		l := &document.Listeners[i]
 		for _, p := range l.WeightedServices {
-			inbound[p.Service] = append(inbound[p.Service], proto.Inbound{Addr: l.Address, Weight: p.Weight})
+			inbound[p.Service] = append(inbound[p.Service], proto.Inbound{
+				Addr: l.Address, Weight: p.Weight,
+				Timeout: l.Timeout, Objective: l.LatencyObjective, Urgency: l.Urgency, Idempotent: l.Idempotent,
+			})
 		}
 		for _, name := range l.PreviousServices {
 			inbound[name] = append(inbound[name], proto.Inbound{Addr: l.Address})
