--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -203,6 +203,44 @@
 	is.Equal(c.registers[reopened.Replica()].current(), uint64(commands-1))
 }
 
+// paddedSnapshots is a state machine whose snapshots have size bytes more.
+type paddedSnapshots struct {
+	StateMachine
+	size int
+}
+
+func (p paddedSnapshots) Snapshot() ([]byte, error) {
+	b, err := p.StateMachine.Snapshot()
+	return append(b, make([]byte, p.size)...), err
+}
+
+// Guards against a log that outgrows the disk where snapshots are large, and against
+// snapshots so frequent that writing them costs more than writing the log.
+func TestLogStaysWithinAFewLargeSnapshots(t *testing.T) {
+	const commands, commandBytes, snapshotBytes = 100, 256 << 10, 2 << 20
+	// A log holds a snapshot and up to four times its size in entries. While it is
+	// rewritten, its successor is on the disk too: a snapshot and what is retained.
+	const maxDiskBytes = (1+4+1)*snapshotBytes + defaultTrailingBytes + 2*commandBytes
+	const maxSnapshots = 1 + commands*commandBytes/(4*snapshotBytes)
+	is := is.New(t)
+	dir := t.TempDir()
+	store, err := disk.Open(disk.Options{Dir: dir})
+	is.NoErr(err)
+	c := newConfiguredCluster(t, func(o *Options) {
+		o.SnapshotEntries, o.TrailingEntries = 0, 0
+		o.StateMachine = paddedSnapshots{o.StateMachine, snapshotBytes}
+	}, store)
+	leader := c.awaitLeader()
+	for i := range uint64(commands) {
+		is.NoErr(c.tickDuring("proposal", func() error {
+			_, err := leader.Propose(context.Background(), append(encode(i), make([]byte, commandBytes)...))
+			return err
+		}))
+		is.True(directorySize(t, dir) <= maxDiskBytes)
+	}
+	is.True(leader.Status().Counters.Snapshots <= maxSnapshots)
+}
+
 // directorySize returns the size of all files in a directory.
 func directorySize(t *testing.T, dir string) (size int64) {
 	t.Helper()
