Keep evacuations of availability zones as state of the fleet

Cause: operators cannot empty an availability zone; the type of an evacuation existed, and nothing created one. Change: core/fleet has the commands "evacuate" and "end evacuation", with a zone, a written reason (a field of its own, checked like an exception's) and the revision at which the evacuations last changed.

--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -25,12 +25,16 @@
 	KindImport
 	// KindRegistrations adds and removes registered agents. The leader proposes it.
 	KindRegistrations
+	// KindEvacuate evacuates an availability zone.
+	KindEvacuate
+	// KindEndEvacuation ends the evacuation of an availability zone.
+	KindEndEvacuation
 )
 
 // kindNames are the names of the kinds in JSON.
 var kindNames = map[CommandKind]string{
 	KindApply: "apply", KindPatch: "patch", KindRollback: "rollback", KindDrain: "drain", KindCancelDrain: "cancel drain",
-	KindImport: "import", KindRegistrations: "seats",
+	KindImport: "import", KindRegistrations: "seats", KindEvacuate: "evacuate", KindEndEvacuation: "end evacuation",
 }
 
 // String returns the kind's name.
@@ -90,6 +94,14 @@
 	Import *Import `cbor:"11,keyasint,omitempty" json:"import,omitempty"`
 	// Registrations is the content of KindRegistrations.
 	Registrations *RegistrationChange `cbor:"12,keyasint,omitempty" json:"seats,omitempty"`
+	// Zone is set for KindEvacuate and KindEndEvacuation.
+	Zone string `cbor:"13,keyasint,omitempty" json:"zone,omitempty"`
+	// Reason is the operator's explanation, which KindEvacuate requires. The
+	// Evacuation retains it; Comment is a remark for the history of the document.
+	Reason string `cbor:"14,keyasint,omitempty" json:"reason,omitempty"`
+	// ExpectedRevision is the EvacuationRevision on which the operator based
+	// KindEvacuate or KindEndEvacuation.
+	ExpectedRevision uint64 `cbor:"15,keyasint,omitempty" json:"expected_revision,omitempty"`
 }
 
 // Outcome is the outcome of a command.
@@ -100,7 +112,8 @@
 	// OutcomeAccepted means that the command is effective from Result.Version and
 	// Result.Revision on.
 	OutcomeAccepted Outcome = iota + 1
-	// OutcomeConflict means that the expected version conflicts with later changes.
+	// OutcomeConflict means that the expected version or revision conflicts with later
+	// changes.
 	OutcomeConflict
 	// OutcomeInvalid means that validation found the problems in Result.Problems.
 	OutcomeInvalid
@@ -129,8 +142,8 @@
 	// Version is the version of the document after the command. It increases with
 	// every accepted apply, patch, rollback and newer import.
 	Version uint64 `cbor:"2,keyasint" json:"version"`
-	// Revision is the revision of the state, which includes the drains. It increases
-	// with the version and with every added or cancelled drain.
+	// Revision is the revision of the state, which includes the drains and
+	// evacuations. It increases with the version and with every change of those.
 	Revision uint64 `cbor:"3,keyasint" json:"revision"`
 	// Problems lists the validation errors of an invalid command.
 	Problems []Problem `cbor:"4,keyasint,omitempty" json:"problems,omitempty"`
@@ -145,16 +158,6 @@
 	Comment       string    `cbor:"4,keyasint" json:"comment,omitempty"`
 }
 
-// Evacuation excludes the backend servers of an availability zone from new flows. It
-// remains until an operator ends it, whatever documents are applied or imported.
-type Evacuation struct {
-	Zone       string    `cbor:"1,keyasint" json:"zone"`
-	Author     string    `cbor:"2,keyasint" json:"author,omitempty"`
-	ProposedAt time.Time `cbor:"3,keyasint" json:"at"`
-	// Reason is the operator's explanation. It is mandatory.
-	Reason string `cbor:"4,keyasint" json:"reason"`
-}
-
 // Limits of a command.
 const (
 	maxTextLength = 1_000 // bytes, of request ID, author and comment each
@@ -199,6 +202,8 @@
 		if !ValidName(c.BackendServer) {
 			add("backend_server", "%q is not the name of a backend server", c.BackendServer)
 		}
+	case KindEvacuate, KindEndEvacuation:
+		problems = append(problems, c.validateEvacuation()...)
 	default:
 		add("kind", "%s is unknown", c.Kind)
 	}
--- a/core/fleet/digest.go
+++ b/core/fleet/digest.go
@@ -34,6 +34,10 @@
 		h.addrs(c.Registrations.Added)
 		h.addrs(c.Registrations.Removed)
 	}
+	if c.Zone != "" {
+		h.texts([]string{c.Zone, c.Reason})
+		h.number(c.ExpectedRevision)
+	}
 	return h.Sum64()
 }
 
--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -12,15 +12,15 @@
 const maxProblems = 100
 
 // StateMachine is the replicated state machine of the fleet's configuration. It is not
-// safe for concurrent use. It never modifies the documents, drains and history entries
-// that it has returned.
+// safe for concurrent use. It never modifies the documents, drains, evacuations and
+// history entries that it has returned.
 type StateMachine struct {
 	document         *Document
 	version          uint64
 	revision         uint64
 	nextServiceID    view.ServiceID
-	drains           []Drain      // sorted by backend server
-	evacuations      []Evacuation // sorted by zone
+	drains           []Drain // sorted by backend server
+	evacuations      evacuations
 	history          *history
 	resultCache      *resultCache
 	lastIndex        uint64
@@ -55,9 +55,6 @@
 // Drains returns the drains, sorted by backend server. Treat them as read-only.
 func (m *StateMachine) Drains() []Drain { return m.drains }
 
-// Evacuations returns the evacuations, sorted by zone. Treat them as read-only.
-func (m *StateMachine) Evacuations() []Evacuation { return m.evacuations }
-
 // History returns the entries of the stored versions, oldest first. Treat their
 // content as read-only.
 func (m *StateMachine) History() []HistoryEntry { return slices.Clone(m.history.entries) }
@@ -121,6 +118,10 @@
 		return m.importDocument(c)
 	case KindRegistrations:
 		return m.changeRegistrations(c.Registrations)
+	case KindEvacuate:
+		return m.evacuate(c)
+	case KindEndEvacuation:
+		return m.endEvacuation(c)
 	case KindDrain:
 		return m.drain(c)
 	default:
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -28,22 +28,27 @@
 	CachedResults    []CachedResult   `cbor:"9,keyasint"`
 	ActiveImport     Import           `cbor:"10,keyasint,omitempty"`
 	RegisteredAgents []netip.AddrPort `cbor:"11,keyasint,omitempty"`
+	Evacuations      []Evacuation     `cbor:"12,keyasint,omitempty"`
+	// EvacuationRevision is the revision at which Evacuations last changed.
+	EvacuationRevision uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Snapshot returns a snapshot of the state. Treat it as read-only.
 func (m *StateMachine) Snapshot() Snapshot {
 	return Snapshot{
-		Format:           snapshotFormat,
-		Index:            m.lastIndex,
-		Version:          m.version,
-		Revision:         m.revision,
-		NextServiceID:    m.nextServiceID,
-		Document:         *m.document,
-		Drains:           m.drains,
-		History:          m.History(),
-		CachedResults:    m.resultCache.snapshot(),
-		ActiveImport:     m.activeImport,
-		RegisteredAgents: m.RegisteredAgents(),
+		Format:             snapshotFormat,
+		Index:              m.lastIndex,
+		Version:            m.version,
+		Revision:           m.revision,
+		NextServiceID:      m.nextServiceID,
+		Document:           *m.document,
+		Drains:             m.drains,
+		History:            m.History(),
+		CachedResults:      m.resultCache.snapshot(),
+		ActiveImport:       m.activeImport,
+		RegisteredAgents:   m.RegisteredAgents(),
+		Evacuations:        m.evacuations.sorted,
+		EvacuationRevision: m.evacuations.revision,
 	}
 }
 
@@ -69,6 +74,7 @@
 		revision:         s.Revision,
 		nextServiceID:    s.NextServiceID,
 		drains:           normalizeDrains(s.Drains),
+		evacuations:      newEvacuations(s.Evacuations, s.EvacuationRevision),
 		history:          newHistory(s.History),
 		resultCache:      newResultCache(s.CachedResults),
 		lastIndex:        s.Index,
--- a/core/fleet/validate.go
+++ b/core/fleet/validate.go
@@ -243,16 +243,24 @@
 }
 
 func (v *validator) checkReason(reason string) {
+	if message := reasonProblem(reason); message != "" {
+		v.report("reason", "%s", message)
+	}
+}
+
+// reasonProblem returns what is wrong with an operator's written reason, or "".
+func reasonProblem(reason string) string {
 	switch {
 	case strings.TrimSpace(reason) == "":
-		v.report("reason", "a written reason is required")
+		return "a written reason is required"
 	case strings.TrimSpace(reason) != reason || strings.ContainsAny(reason, "\r\n"):
-		v.report("reason", "the reason is not one line without spaces around it")
+		return "the reason is not one line without spaces around it"
 	case len(reason) < minReasonLength:
-		v.report("reason", "%q is shorter than %d bytes; say why", reason, minReasonLength)
+		return fmt.Sprintf("%q is shorter than %d bytes; say why", reason, minReasonLength)
 	case len(reason) > maxReasonLength:
-		v.report("reason", "the reason is longer than %d bytes", maxReasonLength)
+		return fmt.Sprintf("the reason is longer than %d bytes", maxReasonLength)
 	}
+	return ""
 }
 
 func (v *validator) checkName(key, name string) {
