Take the platform's orders to evacuate availability zones

Cause: POST and DELETE /evacuation/ZONE were answered 404. `[adapter] zones` names the zones, from the platform's table, and is read again when the settings change; without it any valid name is a zone. node.Seeds and node.Zones are one generic type.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -37,7 +37,13 @@
 	Backend Backend
 	// Imports holds the configuration; nil without the control role.
 	Imports Imports
-	Log     *zap.Logger
+	// Evacuations holds the evacuated availability zones; nil without the control
+	// role.
+	Evacuations Evacuations
+	// Zones returns the availability zones that exist; none if any name is one.
+	// It is set where Evacuations is.
+	Zones func() []string
+	Log   *zap.Logger
 }
 
 // Backend takes what a backend server says of itself.
@@ -58,3 +64,13 @@
 	// confirmed which one is the newest.
 	Imported(ctx context.Context) (fleet.Import, error)
 }
+
+// Evacuations are the availability zones whose backend servers get no new flows. An
+// error leaves it unknown whether a call has taken effect.
+type Evacuations interface {
+	// Evacuate evacuates a zone. If it is evacuated already, nothing changes.
+	Evacuate(ctx context.Context, zone, reason string) (fleet.Result, error)
+	// EndEvacuation ends the evacuation of a zone. If it is not evacuated, nothing
+	// changes.
+	EndEvacuation(ctx context.Context, zone string) (fleet.Result, error)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,8 @@
 	Platform adapter.Platform
 	// Seeds are the control processes that the settings name.
 	Seeds *Seeds
+	// Zones are the availability zones that the settings name; empty for any.
+	Zones *Zones
 	// Ready is called once every role has started; nil where nobody waits.
 	Ready func()
 	// Now is the clock.
@@ -58,7 +60,7 @@
 // Load reads the keys that the settings name, or makes keys for this process
 // alone where they name none.
 func Load(p *settings.Process, now func() time.Time, log *zap.Logger) (Options, error) {
-	o := Options{Settings: p, Seeds: NewSeeds(p.Join.Control), Now: now, Log: log}
+	o := Options{Settings: p, Seeds: NewSeeds(p.Join.Control), Zones: NewZones(p.Adapter.Zones), Now: now, Log: log}
 	if !p.TLS.Enabled() {
 		return ephemeral(o)
 	}
--- a/internal/node/segments.go
+++ b/internal/node/segments.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
-	"sync/atomic"
 
 	"go.uber.org/fx"
 
@@ -16,25 +14,6 @@
 	"fulmarmount.org/fulmarmount/internal/subscribe"
 )
 
-// Seeds are the addresses of control processes in the settings. They may change
-// while the process runs.
-type Seeds struct {
-	addrs atomic.Pointer[[]netip.AddrPort]
-}
-
-// NewSeeds returns Seeds with addresses.
-func NewSeeds(addrs []netip.AddrPort) *Seeds {
-	s := &Seeds{}
-	s.Set(addrs)
-	return s
-}
-
-// Set replaces the addresses.
-func (s *Seeds) Set(addrs []netip.AddrPort) { s.addrs.Store(&addrs) }
-
-// Get returns the addresses.
-func (s *Seeds) Get() []netip.AddrPort { return *s.addrs.Load() }
-
 // readiness is a role that tells when callers may be sent to it.
 type readiness interface{ Ready() bool }
 
@@ -110,6 +89,8 @@
 	}
 	if o.Settings.Has(settings.RoleControl) {
 		options.Imports = fleetstore.NewImportStore(o.Store, o.Now)
+		options.Evacuations = fleetstore.NewEvacuationStore(o.Store, o.Settings.Name, o.Now)
+		options.Zones = o.Zones.Get
 	}
 	return options
 }
--- a/internal/run/watch.go
+++ b/internal/run/watch.go
@@ -19,7 +19,8 @@
 const watchInterval = 2 * time.Second
 
 // watcher reads the settings file again when it changes. What a running process
-// can take from it are the control processes of [join]; the rest needs a restart.
+// can take from it are the control processes of [join] and the availability zones of
+// [adapter]; the rest needs a restart.
 type watcher struct {
 	options Options
 	node    node.Options
@@ -55,10 +56,22 @@
 		log.Error("Settings have faults. Those in force stay.", zap.Error(err))
 		return
 	}
+	if !w.adopt(s, log) {
+		log.Info("Settings have changed. The change needs a restart.")
+	}
+}
+
+// adopt takes over what needs no restart, and reports whether any of it has changed.
+func (w *watcher) adopt(s *settings.Process, log *zap.Logger) (changed bool) {
 	if !slices.Equal(s.Join.Control, w.node.Seeds.Get()) && len(s.Join.Control) > 0 {
 		w.node.Seeds.Set(s.Join.Control)
 		log.Info("Control processes have changed.", zap.Stringers("control", s.Join.Control))
-		return
+		changed = true
+	}
+	if !slices.Equal(s.Adapter.Zones, w.node.Zones.Get()) {
+		w.node.Zones.Set(s.Adapter.Zones)
+		log.Info("Availability zones have changed.", zap.Strings("zones", s.Adapter.Zones))
+		changed = true
 	}
-	log.Info("Settings have changed. The change needs a restart.")
+	return changed
 }
--- a/internal/run/watch_test.go
+++ b/internal/run/watch_test.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -12,8 +13,9 @@
 	"fulmarmount.org/fulmarmount/internal/node"
 )
 
-func settingsText(control string) []byte {
+func settingsText(control string, zones ...string) []byte {
 	return []byte("[process]\nname = a\nzone = z\nroles = balancer, agent, control\ndata_dir = d\n\n" +
+		"[adapter]\nzones = " + strings.Join(zones, ",") + "\n\n" +
 		"[join]\ncontrol = " + control + "\nport = 7000\n\n[balancer]\npackets = 127.0.0.1:1\n\n" +
 		"[control]\nlisten = 127.0.0.1:2\ncluster = c\n\n" +
 		"[agent.s]\nid = x\nbackend = 127.0.0.1:3\npackets = 127.0.0.1:4\nrequests = 127.0.0.1:5\n")
@@ -25,7 +27,8 @@
 	write := func(text []byte) { is.NoErr(os.WriteFile(path, text, 0o600)) }
 	write(settingsText("10.0.0.1:1"))
 	seeds := node.NewSeeds([]netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7000")})
-	w := newWatcher(Options{Config: path}, node.Options{Seeds: seeds, Log: zap.NewNop()})
+	zones := node.NewZones(nil)
+	w := newWatcher(Options{Config: path}, node.Options{Seeds: seeds, Zones: zones, Log: zap.NewNop()})
 	want := func(addrs ...string) {
 		t.Helper()
 		w.reload()
@@ -44,4 +47,7 @@
 	want("10.0.0.2:7000", "10.0.0.3:7000")
 	write(settingsText("10.0.0.4:1"))
 	want("10.0.0.4:7000")
+	write(settingsText("10.0.0.4:1", "sejong-a", "sejong-b"))
+	want("10.0.0.4:7000")
+	is.Equal(zones.Get(), []string{"sejong-a", "sejong-b"})
 }
--- a/internal/settings/segments.go
+++ b/internal/settings/segments.go
@@ -88,5 +88,10 @@
 }
 
 func (p *parser) adapter(out *Process, r *inifile.Reader) {
-	out.Adapter = Adapter{Readiness: r.Addr("readiness"), Operators: r.Addr("operators")}
+	out.Adapter = Adapter{Readiness: r.Addr("readiness"), Operators: r.Addr("operators"), Zones: r.List("zones")}
+	for _, zone := range out.Adapter.Zones {
+		if !fleet.ValidName(zone) {
+			r.Fail("zones", "%q is not the name of an availability zone", zone)
+		}
+	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -119,14 +119,16 @@
 	Silence time.Duration
 }
 
-// Adapter is the HTTP addresses at which the process serves the protocols of the
-// platform that it runs on; zero values stand for none.
+// Adapter is how the process serves the protocols of the platform that it runs on. Its
+// addresses are of HTTP; zero values stand for none.
 type Adapter struct {
 	// Readiness tells the fabric whether callers may be sent here.
 	Readiness netip.AddrPort
 	// Operators is for operators on control processes, and for the backend
 	// server on agents.
 	Operators netip.AddrPort
+	// Zones are the availability zones that operators may name; empty for any.
+	Zones []string
 }
 
 // Enabled reports whether any address is set.
