--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -121,11 +121,16 @@
 	Revision uint64    `json:"revision"`
 	Services int       `json:"services"`
 	// Expired lists the exceptions that have ended and may be deleted.
-	Expired  []fleet.Exception `json:"expired,omitempty"`
-	Drains   []fleet.Drain     `json:"drains,omitempty"`
-	Progress Progress          `json:"progress"`
-	Members  []Member          `json:"members,omitempty"`
-	Replicas []Replica         `json:"replicas,omitempty"`
+	Expired     []fleet.Exception  `json:"expired,omitempty"`
+	Drains      []fleet.Drain      `json:"drains,omitempty"`
+	Evacuations []fleet.Evacuation `json:"evacuations,omitempty"`
+	// EvacuationRevision is the revision at which the evacuations last changed,
+	// which commands that change them have to name.
+	EvacuationRevision uint64 `json:"evacuation_revision"`
+
+	Progress Progress  `json:"progress"`
+	Members  []Member  `json:"members,omitempty"`
+	Replicas []Replica `json:"replicas,omitempty"`
 	// CertificateEnds is when the process's certificate expires.
 	CertificateEnds time.Time `json:"certificate_ends,omitzero"`
 }
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -168,6 +168,7 @@
 		status.Services = len(m.Document().Services)
 		status.Expired = m.Document().ExpiredExceptions(status.Time)
 		status.Drains = m.Drains()
+		status.Evacuations, status.EvacuationRevision = m.Evacuations(), m.EvacuationRevision()
 	})
 	if err != nil {
 		fail(w, err)
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -166,13 +166,13 @@
 	result, err := client.Propose(ctx, command)
 	if err != nil {
 		return result, errRefused.New("%s\nthe command may still take effect; repeat it with --request-id %s --expect %d to learn its result",
-			err, command.RequestID, command.ExpectedVersion)
+			err, command.RequestID, expected(command))
 	}
 	switch result.Outcome {
 	case fleet.OutcomeAccepted:
 		return result, nil
 	case fleet.OutcomeConflict:
-		return result, errConflict.New("expected version %d, but version %d is in force", command.ExpectedVersion, result.Version)
+		return result, conflict(command, result)
 	case fleet.OutcomeRequestIDReused:
 		return result, errRefused.New("request ID %q was used for another command", command.RequestID)
 	case fleet.OutcomeNotFound:
@@ -182,6 +182,21 @@
 	}
 }
 
+// expected returns the number that a repetition of the command has to expect.
+func expected(command fleet.Command) uint64 {
+	if isZoneChange(command.Kind) {
+		return command.ExpectedRevision
+	}
+	return command.ExpectedVersion
+}
+
+func conflict(command fleet.Command, result fleet.Result) error {
+	if isZoneChange(command.Kind) {
+		return errConflict.New("the evacuations have changed since revision %d; see zone list", command.ExpectedRevision)
+	}
+	return errConflict.New("expected version %d, but version %d is in force", command.ExpectedVersion, result.Version)
+}
+
 func problemLines(problems []fleet.Problem) string {
 	lines := make([]string, len(problems))
 	for i, p := range problems {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -95,7 +95,7 @@
 		Subcommands: []*ff.Command{
 			a.checkCommand(), a.explainCommand(),
 			a.applyCommand(), a.patchCommand(), a.getCommand(), a.historyCommand(), a.diffCommand(), a.rollbackCommand(),
-			a.drainCommand(), a.statusCommand(), a.dumpCommand(), a.replicaCommand(),
+			a.drainCommand(), a.zoneCommand(), a.statusCommand(), a.dumpCommand(), a.replicaCommand(),
 			a.keysCommand(),
 		},
 	}
--- a/internal/ctl/operate.go
+++ b/internal/ctl/operate.go
@@ -45,7 +45,7 @@
 	return &ff.Command{
 		Name:      "status",
 		Usage:     "fulmarctl status [--json]",
-		ShortHelp: "show the fleet in short: version, daemons, drains, expiries",
+		ShortHelp: "show the fleet in short: version, daemons, drains, evacuations, expiries",
 		Flags:     flags,
 		Exec: a.connected(0, func(ctx context.Context, client *admin.Client, _ []string) error {
 			status, err := client.Status(ctx)
@@ -79,6 +79,9 @@
 	for _, d := range s.Drains {
 		a.out("drain of %s since %s by %s %s", d.BackendServer, d.ProposedAt.Format(time.RFC3339), d.Author, d.Comment)
 	}
+	for _, e := range s.Evacuations {
+		a.out("zone %s is evacuated since %s by %s: %s", e.Zone, e.ProposedAt.Format(time.RFC3339), e.Author, e.Reason)
+	}
 	if err := a.members(s.Members); err != nil {
 		return err
 	}
