--- a/internal/fleetstore/evacuations_test.go
+++ b/internal/fleetstore/evacuations_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
 
@@ -132,3 +133,28 @@
 	is.Equal(result.Outcome, fleet.OutcomeConflict)
 	is.Equal(len(zones(machine)), 0)
 }
+
+// A snapshot of a version that did not know evacuations lacks their fields.
+func TestSnapshotWithoutEvacuationsIsRestored(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store, _, _, machine := newEvacuationStores()
+	_, err := store.Evacuate(ctx, "a", reason)
+	is.NoErr(err)
+	data, err := machine.Snapshot()
+	is.NoErr(err)
+	var fields map[uint64]cbor.RawMessage
+	is.NoErr(decode("snapshot", data, &fields))
+	const evacuations, evacuationRevision = 12, 13
+	is.True(len(fields[evacuations]) > 0 && len(fields[evacuationRevision]) > 0)
+	delete(fields, evacuations)
+	delete(fields, evacuationRevision)
+	data, err = encode("snapshot", fields)
+	is.NoErr(err)
+	is.NoErr(machine.Restore(data))
+	is.Equal(len(zones(machine)), 0)
+	result, err := store.Evacuate(ctx, "b", reason)
+	is.NoErr(err)
+	is.Equal(result.Revision, uint64(2))
+	is.Equal(zones(machine), []string{"b"})
+}
