Limit each wait of the control group's tests, not all of them together

The shared disk then held single syncs for up to 3.06 s (11,078 syncs of 100 kB in 12 s, median 0.2 ms), so the group elected leaders anew again and again. One context with the limit of a single wait spanned the whole test; once it had ended, nothing could be proposed. The constant says that it limits each wait. Change: the contexts of these tests have no deadline of their own; eventually and the calls' own time-outs limit each wait. Conclusion: a fault of the test. Each wait is checked as before.

--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -182,7 +182,7 @@
 
 func TestGroupReplacesLostReplicaAndToleratesNextLoss(t *testing.T) {
 	is := is.New(t)
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	ctx, cancel := context.WithCancel(context.Background()) // eventually limits each wait
 	defer cancel()
 	b := newTestGroup(t, 3)
 	var processes []*process
--- a/internal/group/recover_test.go
+++ b/internal/group/recover_test.go
@@ -63,7 +63,7 @@
 func TestGroupTakesChangesAfterEachDiskWasFull(t *testing.T) {
 	is := is.New(t)
 	processes, full := startGroupWithFullDisks(t, 3)
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	ctx, cancel := context.WithCancel(context.Background()) // eventually limits each wait
 	defer cancel()
 	awaitLeader(t, processes[0].Group)
 	// Large commands make snapshots due, which fail on a full disk as well.
@@ -103,7 +103,7 @@
 func TestReplicaBootstrapsOnceItsDiskHasSpace(t *testing.T) {
 	is := is.New(t)
 	processes, full := startGroupWithFullDisks(t, 3, 2)
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	ctx, cancel := context.WithCancel(context.Background()) // eventually limits each wait
 	defer cancel()
 	onLeader(t, processes[:2], func(p *process) error {
 		_, err := p.Propose(ctx, []byte("while full"))
@@ -122,7 +122,7 @@
 func TestReplicaRestartsWhenItsDiskHasSpaceAgain(t *testing.T) {
 	is := is.New(t)
 	processes, full := startGroupWithFullDisks(t, 3)
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	ctx, cancel := context.WithCancel(context.Background()) // eventually limits each wait
 	defer cancel()
 	leader := awaitLeader(t, processes[0].Group).LeaderAddr
 	i := 0
