List the members of evacuated zones as draining

Change: control adopts the evacuations with the drains; core/lease lists members of such a zone, present and later, as draining and names the reason; the views and the item that agents follow go out at once and in one batch; dump and counters show the zones and since when. Result: tests of core/lease and of the roles pass; no command records an evacuation yet.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -89,6 +89,7 @@
 	phaseStart        time.Duration
 	joinedAt          view.Version // first view that contains this incarnation; zero before it
 	drainedByOperator bool
+	inEvacuatedZone   bool // the zone of its latest announcement is evacuated
 	addressReassigned bool // a newer member announced the same packet address
 	flapTimes         []time.Duration
 	publishedWeight   uint32 // weight in the latest view
@@ -99,9 +100,11 @@
 	firstAccepting, acceptingSince uint64
 }
 
-// isDraining reports whether an operator or the backend server itself drains the
-// member.
-func (m *member) isDraining() bool { return m.drainedByOperator || m.announcement.Draining }
+// isDraining reports whether an operator drains the member or evacuates its zone, or
+// the backend server drains itself.
+func (m *member) isDraining() bool {
+	return m.drainedByOperator || m.inEvacuatedZone || m.announcement.Draining
+}
 
 // isEligible reports whether the member gets new flows unless it is ejected.
 func (m *member) isEligible() bool {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -186,6 +186,20 @@
 		{"one is reported unhealthy", 4, func(f *testFleet) { f.agents[1].Healthy = false }, 6 * second, "ready:100/ready:0/ready:100/ready:100"},
 		{"a drained member is unresponsive", 2, func(f *testFleet) { f.registry.SetDrained([]string{"host-0"}); markUnresponsive(f, 0) }, 6 * second, "gone:0/ready:100"},
 		{"all are drained", 2, func(f *testFleet) { f.registry.SetDrained([]string{"host-0", "host-1"}) }, 6 * second, "draining:0/draining:0"},
+		{"a zone is evacuated", 4, func(f *testFleet) { f.registry.SetEvacuatedZones([]string{"zone-0"}) }, 100 * time.Millisecond, "draining:0/ready:100/ready:100/draining:0"},
+		{"a zone is evacuated and taken back", 4, func(f *testFleet) {
+			f.registry.SetEvacuatedZones([]string{"zone-0"})
+			f.advance(second)
+			f.registry.SetEvacuatedZones(nil)
+		}, 100 * time.Millisecond, "ready:100/ready:100/ready:100/ready:100"},
+		{"a member announces itself in an evacuated zone", 1, func(f *testFleet) {
+			f.registry.SetEvacuatedZones([]string{"zone-1"})
+			f.agents = append(f.agents, announcement(1))
+		}, 6 * second, "ready:100/draining:0"},
+		{"a member of an evacuated zone restarts", 2, func(f *testFleet) {
+			f.registry.SetEvacuatedZones([]string{"zone-1"})
+			f.restart(1)
+		}, 6 * second, "ready:100/draining:0"},
 		{"a weight is set", 2, func(f *testFleet) { f.registry.SetWeightFunc(weightFuncOfHost1(40)) }, second, "ready:100/ready:40"},
 		{"a weight of 0 is set", 2, func(f *testFleet) { f.registry.SetWeightFunc(weightFuncOfHost1(0)) }, second, "ready:100/ready:0"},
 		{"an agent announces draining", 2, func(f *testFleet) { f.agents[0].Draining = true }, 6 * second, "draining:0/ready:100"},
--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -28,6 +28,7 @@
 	services     map[view.ServiceID]*service
 	serviceIDs   []view.ServiceID // keys of services, sorted
 	drainedIDs   map[string]bool
+	evacuated    map[string]bool // zones
 	epoch        uint64
 	viewNumber   uint64
 	collectUntil time.Duration // end of the collection period
@@ -70,6 +71,7 @@
 		holders:    make(addressHolders),
 		services:   make(map[view.ServiceID]*service),
 		drainedIDs: make(map[string]bool),
+		evacuated:  make(map[string]bool),
 	}
 }
 
@@ -107,7 +109,7 @@
 		}
 		m := &member{
 			id: b.ID, service: v.Service, announcedAt: now, phase: b.State, phaseStart: now,
-			joinedAt: v.Version, drainedByOperator: r.drainedIDs[b.ID], wasListed: true,
+			joinedAt: v.Version, drainedByOperator: r.drainedIDs[b.ID], inEvacuatedZone: r.evacuated[b.Zone], wasListed: true,
 		}
 		m.announcement = view.Announcement{
 			ID: b.ID, Zone: b.Zone, Incarnation: b.Incarnation, Healthy: true,
@@ -214,7 +216,7 @@
 		m.phase, m.phaseStart = view.Warming, now
 		s.dirty = true
 	}
-	m.announcement, m.announcedAt = a, now
+	m.announcement, m.announcedAt, m.inEvacuatedZone = a, now, r.evacuated[a.Zone]
 }
 
 func (r *Registry) ensureService(id view.ServiceID) *service {
--- a/core/lease/status.go
+++ b/core/lease/status.go
@@ -54,6 +54,7 @@
 		text    string
 	}{
 		{m.drainedByOperator, "drained by an operator"},
+		{m.inEvacuatedZone, "its zone is evacuated by an operator"},
 		{m.announcement.Draining, "asks to leave"},
 		{m.phase == view.Joining, "has not adopted a view yet"},
 		{m.addressReassigned, "its address was taken by another backend server"},
--- a/internal/proto/item.go
+++ b/internal/proto/item.go
@@ -79,7 +79,9 @@
 		}
 		s.Version = it.Version
 		u.Services = append(u.Services, s)
-	case it.Key == ZonesKey && !it.Deleted:
+	case it.Key == ZonesKey && it.Deleted:
+		u.Zones = &Zones{}
+	case it.Key == ZonesKey:
 		var z Zones
 		if err := cbor.Unmarshal(it.Body, &z); err != nil {
 			return BadItem.Wrap(err, "decode %q at %v", it.Key, it.Version)
--- a/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -35,6 +35,8 @@
 	revision uint64
 	document *fleet.Document
 	drains   []fleet.Drain
+	// evacuations are those of availability zones, sorted by zone.
+	evacuations []fleet.Evacuation
 	// resolver holds the exceptions that had not ended when it was made.
 	resolver *fleet.Resolver
 }
@@ -95,7 +97,7 @@
 	if c.configuration.document != nil && m.Revision() <= c.configuration.revision {
 		return
 	}
-	c.configuration = configuration{revision: m.Revision(), document: m.Document(), drains: m.Drains()}
+	c.configuration = configuration{revision: m.Revision(), document: m.Document(), drains: m.Drains(), evacuations: m.Evacuations()}
 	now := c.options.Now()
 	c.configuration.resolver = fleet.NewResolver(c.configuration.document, now)
 	services := c.effectiveServices()
@@ -107,6 +109,7 @@
 		drained = append(drained, d.BackendServer)
 	}
 	c.registry.SetDrained(drained)
+	c.evacuateZones()
 	c.pending = &pending{revision: m.Revision(), due: now.Add(settleTime)}
 	c.options.Log.Info("Adopted a configuration.",
 		zap.Uint64("version", m.Version()), zap.Uint64("revision", m.Revision()), zap.Int("services", len(services)),
--- a/internal/role/control/dump.go
+++ b/internal/role/control/dump.go
@@ -4,7 +4,9 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"time"
 
+	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/fulmarmount/internal/proto"
@@ -13,10 +15,11 @@
 // Dump is the state of a control process; most of it is known to the leader
 // alone.
 type Dump struct {
-	Listen   netip.AddrPort  `json:"listen"`
-	Version  view.Version    `json:"version"`
-	Revision uint64          `json:"revision"`
-	Services []proto.Service `json:"services"`
+	Listen      netip.AddrPort     `json:"listen"`
+	Version     view.Version       `json:"version"`
+	Revision    uint64             `json:"revision"`
+	Services    []proto.Service    `json:"services"`
+	Evacuations []fleet.Evacuation `json:"evacuations,omitempty"`
 	// BackendServers are the members of all services, with what keeps them from
 	// new flows.
 	BackendServers []lease.MemberStatus `json:"backend_servers"`
@@ -34,7 +37,7 @@
 func (c *term) dump(d *Dump) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d.Version, d.Revision = c.publisher.Position(), c.configuration.revision
+	d.Version, d.Revision, d.Evacuations = c.publisher.Position(), c.configuration.revision, c.configuration.evacuations
 	for _, name := range slices.Sorted(maps.Keys(c.services)) {
 		s := c.services[name]
 		d.Services = append(d.Services, s)
@@ -51,6 +54,8 @@
 	Lapses        uint64 `json:"lapses"`
 	Spared        uint64 `json:"spared"`
 	Views         uint64 `json:"views"`
+	// EvacuatedSince has the evacuated zones and when an operator ordered it.
+	EvacuatedSince map[string]time.Time `json:"evacuated_since,omitempty"`
 }
 
 // Counters returns the counts since the process came to lead.
@@ -68,5 +73,6 @@
 	return Counters{
 		Members: s.Members, Announcements: s.Announcements, Replayed: s.ReplayedAnnouncements, Invalid: s.InvalidAnnouncements,
 		Lapses: s.ExpiredLeases, Spared: s.SkippedEjections, Views: s.PublishedViews,
+		EvacuatedSince: c.configuration.evacuatedSince(),
 	}
 }
--- a/internal/role/control/manual.go
+++ b/internal/role/control/manual.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/fulmarmount/internal/proto"
 )
@@ -24,6 +25,19 @@
 	t.registry.SetDrained(ids)
 }
 
+// SetEvacuations replaces the evacuated availability zones, for a process without
+// replicated state.
+func (c *Control) SetEvacuations(evacuations []fleet.Evacuation) {
+	t := c.current()
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.configuration.evacuations = evacuations
+	t.evacuateZones()
+}
+
 // SetWeights replaces the weights, relative to view.FullWeight, of backend
 // servers whose capacity differs from the default, for a process without
 // replicated state.
