Let agents of an evacuated zone refuse new flows

Change: agents of mode segment follow the item of the zones beside their service, and refuse SYNs with a reason of its own while their zone is evacuated; open flows go on. What an earlier subscription or leader said does not outlive it. The differential test of possibleOwners has zones that are evacuated and taken back. The test's random actions have one more kind, so its seeds give other histories.

--- a/core/lease/evacuation_test.go
+++ b/core/lease/evacuation_test.go
@@ -37,3 +37,20 @@
 	f.advance(2 * second)
 	is.Equal(f.formatStates(), "draining:0/ready:100")
 }
+
+// Searches rely on it: a member of an evacuated zone has accepted new flows only since the
+// first view after the evacuation's end.
+func TestEvacuationEndsTheTimeOfAccepting(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, Options{})
+	f.advance(40 * second)
+	since := f.latestView.Members[0].AcceptingSince
+	is.True(since > 0)
+	f.registry.SetEvacuatedZones([]string{"zone-0"})
+	f.advance(second)
+	is.Equal(f.latestView.Members[0].AcceptingSince, uint64(0))
+	f.registry.SetEvacuatedZones(nil)
+	f.advance(second)
+	is.Equal(f.latestView.Members[0].AcceptingSince, f.latestView.Version.Number)
+	is.True(f.latestView.Members[1].AcceptingSince <= since)
+}
--- a/core/routing/agent.go
+++ b/core/routing/agent.go
@@ -56,10 +56,12 @@
 	// RefusalOtherIncarnation means that the balancer has selected another incarnation
 	// of the backend server. Searches rely on it, see possibleOwners.
 	RefusalOtherIncarnation
-	refusalCount = iota
+	RefusalZoneEvacuated // operators have evacuated the agent's zone
+	// RefusalCount is the number of refusals.
+	RefusalCount = iota
 )
 
-var refusalNames = [refusalCount]string{"none", "other_service", "not_routed", "not_taking", "unknown_flow", "ended", "other_run"}
+var refusalNames = [RefusalCount]string{"none", "other_service", "not_routed", "not_taking", "unknown_flow", "ended", "other_run", "zone_evacuated"}
 
 // String returns the refusal's name in logs.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -117,6 +119,7 @@
 	routedAddrs     map[netip.AddrPort]bool
 	configVersion   view.Version
 	state           BackendState
+	isZoneEvacuated bool
 	// silence is the time since the last message from the backend server, as counted by
 	// Tick.
 	silence time.Duration
@@ -291,6 +294,8 @@
 		return RefusalOtherIncarnation
 	case a.state != BackendServing || a.isDown():
 		return RefusalNotServing
+	case a.isZoneEvacuated:
+		return RefusalZoneEvacuated
 	case !a.routedAddrs[s.Tuple.Service] && !info.ConfigVersion.Newer(a.configVersion):
 		return RefusalNotRouted
 	}
--- a/core/routing/possible_test.go
+++ b/core/routing/possible_test.go
@@ -136,7 +136,20 @@
 	epoch  uint64
 	views  []*view.View
 	states map[string]view.BackendServer
-	nextID int
+	// evacuated are the zones whose members views list as draining.
+	evacuated map[string]bool
+	nextID    int
+}
+
+// zones are those of the members of a viewHistory.
+var zones = []string{"a", "b", "c", "d"}
+
+// listed returns how views list a member.
+func (h *viewHistory) listed(s view.BackendServer) view.BackendServer {
+	if h.evacuated[s.Zone] && s.State != view.Gone {
+		s.State, s.Weight = view.Draining, 0
+	}
+	return s
 }
 
 func (h *viewHistory) accepts(v *view.View, id string, incarnation view.Incarnation) bool {
@@ -169,7 +182,8 @@
 	return since
 }
 
-// next adds a view after some members joined, left, drained or restarted.
+// next adds a view after some members joined, left, drained or restarted, and zones were
+// evacuated or taken back.
 func (h *viewHistory) next(changes int) {
 	for range changes {
 		ids := make([]string, 0, len(h.states))
@@ -177,10 +191,16 @@
 			ids = append(ids, id)
 		}
 		slices.Sort(ids)
-		action := h.random.IntN(10)
+		action := h.random.IntN(11)
+		if action == 10 {
+			zone := zones[h.random.IntN(len(zones))]
+			h.evacuated[zone] = !h.evacuated[zone]
+			continue
+		}
 		if action < 4 || len(ids) < 8 {
 			s := manyServers(1, func(int) uint64 { return 0 })[0]
 			s.ID, s.Packets = fmt.Sprint("host-", h.nextID), netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(h.nextID >> 8), byte(h.nextID)}), 7000)
+			s.Zone = zones[h.nextID%len(zones)]
 			h.nextID++
 			h.states[s.ID] = s
 			continue
@@ -203,7 +223,7 @@
 	}
 	var members []view.BackendServer
 	for _, s := range h.states {
-		members = append(members, s)
+		members = append(members, h.listed(s))
 	}
 	v := view.New(testService, view.Version{Epoch: h.epoch, Number: number}, members)
 	h.views = append(h.views, v)
@@ -218,7 +238,7 @@
 func TestSearchNeverLeavesOutTheOwner(t *testing.T) {
 	for seed := range uint64(10) {
 		is := is.New(t)
-		h := &viewHistory{random: rand.New(rand.NewPCG(seed, 7)), epoch: 1, states: make(map[string]view.BackendServer)}
+		h := &viewHistory{random: rand.New(rand.NewPCG(seed, 7)), epoch: 1, states: make(map[string]view.BackendServer), evacuated: make(map[string]bool)}
 		placing, searching := NewBalancer("a"), NewBalancer("a")
 		routes := Routes{address: {{Service: testService, Weight: 1}}}
 		placing.SetTable(placing.Table().WithRoutes(routes))
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -50,6 +50,7 @@
 	replied         atomic.Uint64
 	returned        atomic.Uint64
 	bounced         atomic.Uint64
+	refused         refusalCounters
 	reports         atomic.Uint64
 	responseLatency histogram.Histogram
 	requestTimes    startTimes
@@ -122,8 +123,12 @@
 	return err
 }
 
-// applyUpdate activates the service's configuration.
+// applyUpdate activates the service's configuration, and what operators have ordered of
+// availability zones before it.
 func (a *Agent) applyUpdate(u proto.Update) {
+	if u.Zones != nil {
+		a.setZones(u.Zones)
+	}
 	for _, s := range u.Services {
 		var addrs []netip.AddrPort
 		for _, in := range s.Inbound {
@@ -207,6 +212,7 @@
 // returnSegment returns a refused segment to the balancer that forwarded it.
 func (a *Agent) returnSegment(s *routing.Segment, forwardInfo routing.ForwardInfo, refusal routing.Refusal, payload []byte) {
 	a.returned.Add(1)
+	a.refused.count(refusal)
 	a.options.Log.Info("Returned a refused segment to its balancer.",
 		zap.Stringer("caller", s.Tuple.Caller), zap.Stringer("address", s.Tuple.Service), zap.Bool("opens", s.OpensFlow()),
 		zap.Uint32("seq", s.Seq), zap.Stringer("refusal", refusal), zap.Stringer("balancer", forwardInfo.Balancer), zap.Uint8("hops", forwardInfo.Hops))
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -119,14 +119,19 @@
 	}
 	ctx, cancel := context.WithCancel(a.ctx)
 	a.unsubscribe = cancel
+	isFirst := true
 	applyUpdate := func(u proto.Update) {
+		if isFirst && u.Zones == nil {
+			u.Zones = &proto.Zones{} // an earlier subscription may have named some
+		}
+		isFirst = false
 		if ctx.Err() == nil {
 			a.applyUpdate(u)
 		}
 	}
 	a.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
-			Name: a.options.Name, Keys: []string{proto.ServiceKey(service)}, Control: a.options.ControlAddrs,
+			Name: a.options.Name, Keys: []string{proto.ServiceKey(service), proto.ZonesKey}, Control: a.options.ControlAddrs,
 			Retry: a.options.Retry, Pool: a.pool, Adopt: applyUpdate, Now: a.options.Now, Log: a.options.Log,
 		})
 	})
--- a/internal/segment/dump.go
+++ b/internal/segment/dump.go
@@ -44,7 +44,9 @@
 	Service     view.ServiceID `json:"service"`
 	State       string         `json:"standing"`
 	BackendDown bool           `json:"ended"`
-	Counters    any            `json:"counters"`
+	// ZoneEvacuated is set while operators have evacuated the agent's zone.
+	ZoneEvacuated bool `json:"zone_evacuated"`
+	Counters      any  `json:"counters"`
 }
 
 // Dump returns the state of the role.
@@ -53,6 +55,7 @@
 	d := AgentDump{Report: a.report, Service: a.service}
 	a.mu.Unlock()
 	d.State, d.BackendDown, d.Counters = a.steer.State().String(), a.steer.IsDown(), a.Counters()
+	d.ZoneEvacuated = a.steer.IsZoneEvacuated()
 	return d
 }
 
@@ -61,6 +64,7 @@
 	load := a.steer.Load()
 	return AgentCounters{
 		Delivered: a.delivered.Load(), Replied: a.replied.Load(), Returned: a.returned.Load(), Bounced: a.bounced.Load(),
+		Refusals: a.refused.counts(), ZoneEvacuated: a.steer.IsZoneEvacuated(),
 		Reports: a.reports.Load(), Failed: a.counters.socketErrors.Load(),
 		Refused: a.counters.rejectedEnvelopes.Load(), Garbled: a.counters.malformedPackets.Load(),
 		Flows: load.Flows, RunningRequests: load.RunningRequests, ResponseLatency: a.responseLatency.Summary(),
--- a/internal/segment/metrics.go
+++ b/internal/segment/metrics.go
@@ -54,9 +54,13 @@
 
 // AgentCounters are the counters of an agent.
 type AgentCounters struct {
-	Delivered       uint64 `json:"delivered"`
-	Replied         uint64 `json:"replied"`
-	Returned        uint64 `json:"returned"`
+	Delivered uint64 `json:"delivered"`
+	Replied   uint64 `json:"replied"`
+	Returned  uint64 `json:"returned"`
+	// Refusals counts the returned segments by reason.
+	Refusals map[string]uint64 `json:"refusals,omitempty"`
+	// ZoneEvacuated is set while operators have evacuated the agent's zone.
+	ZoneEvacuated   bool   `json:"zone_evacuated"`
 	Bounced         uint64 `json:"bounced"`
 	Reports         uint64 `json:"reports"`
 	Failed          uint64 `json:"failed"`
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -121,34 +121,48 @@
 	control     *control.Control
 	serviceAddr netip.AddrPort
 	callerAddr  netip.AddrPort // of the latest balancer
+	// zone is the availability zone of what is started next.
+	zone string
+	// nextLeader is where the next control process will listen, if any.
+	nextLeader netip.AddrPort
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := newFleetWithStore(t, nil)
-	f.control.SetServices([]proto.Service{{
-		ID: 1, Name: "desk", Mode: proto.ModeSegment, Inbound: []proto.Inbound{{Addr: f.serviceAddr, Weight: 1}},
-	}})
+	f.control.SetServices([]proto.Service{f.desk()})
 	return f
 }
 
+// desk returns the service of a fleet without a store.
+func (f *fleet) desk() proto.Service {
+	return proto.Service{ID: 1, Name: "desk", Mode: proto.ModeSegment, Inbound: []proto.Inbound{{Addr: f.serviceAddr, Weight: 1}}}
+}
+
 // newFleetWithStore returns a fleet whose services are those of a replicated state.
 func newFleetWithStore(t *testing.T, store control.Fleet) *fleet {
 	t.Helper()
-	f := &fleet{t: t, serviceAddr: netip.MustParseAddrPort("198.18.0.1:443"), callerAddr: freeAddr(t)}
+	f := &fleet{t: t, serviceAddr: netip.MustParseAddrPort("198.18.0.1:443"), callerAddr: freeAddr(t), zone: "a"}
 	var err error
 	if f.keySet, err = keys.Ephemeral(time.Now()); err != nil {
 		t.Fatal(err)
 	}
-	f.control, err = control.Start(control.Options{
-		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Epoch: 1, Collect: 10 * time.Millisecond, Now: time.Now,
+	f.startControl(netip.MustParseAddrPort("127.0.0.1:0"), 1, store)
+	return f
+}
+
+// startControl starts a control process with an epoch.
+func (f *fleet) startControl(addr netip.AddrPort, epoch uint64, store control.Fleet) {
+	f.t.Helper()
+	c, err := control.Start(control.Options{
+		Listen: addr, Epoch: epoch, Collect: 10 * time.Millisecond, Now: time.Now,
 		TLS: f.identity("control").ServerTLSFor([]keys.Role{keys.Balancer, keys.Agent}, peer.Protocol), Log: zap.NewNop(), Fleet: store,
 	})
 	if err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = f.control.Close() })
-	return f
+	f.control = c
+	f.t.Cleanup(func() { _ = c.Close() })
 }
 
 func freeAddr(t *testing.T) netip.AddrPort {
@@ -187,8 +201,12 @@
 func (f *fleet) commonOptions(name string) segment.CommonOptions {
 	lastSessionID++
 	id := f.identity(name)
+	controlAddrs := []netip.AddrPort{f.control.Addr()}
+	if f.nextLeader.IsValid() {
+		controlAddrs = append(controlAddrs, f.nextLeader)
+	}
 	return segment.CommonOptions{
-		Name: name, Zone: "a", ControlAddrs: subscribe.Fixed(f.control.Addr()), EnvelopeAddr: freeAddr(f.t),
+		Name: name, Zone: f.zone, ControlAddrs: subscribe.Fixed(controlAddrs...), EnvelopeAddr: freeAddr(f.t),
 		Retry:      subscribe.Retry{First: 20 * time.Millisecond, Max: 50 * time.Millisecond},
 		ReturnPort: f.callerAddr.Port(), KeyRing: keyRing{f.keySet.Ring}, SessionID: lastSessionID, Codec: codec{}, Now: time.Now, Log: zap.NewNop(),
 		TLSConfig: func() *tls.Config { return id.ClientTLSFor("", []keys.Role{keys.Control}, peer.Protocol) },
