Hold the new flows of cold backend servers below a limit

Change: the setting warmup_flow_limit, per service; the agent refuses new flows beyond it in any sliding second while its backend server is cold by its own report; load reports carry the allowance, balancers place by it and do not take such a refusal for a failure; callers are not reset while every candidate is at its limit. Where the limit is set, weights of new members do not ramp. The setting has no scope backend_server: agents are told the settings of their service.

--- a/core/fleet/settings.go
+++ b/core/fleet/settings.go
@@ -40,6 +40,9 @@
 	// MaxEjectedPercent is the maximum percentage of a service's backend servers that
 	// may be ejected as unhealthy at the same time.
 	MaxEjectedPercent uint32 `cbor:"9,keyasint" json:"max_ejected"`
+	// WarmupFlowLimit is the number of new flows that a cold backend server takes in any
+	// second; 0 for no limit. Where it is set, it takes the place of the ramp of weights.
+	WarmupFlowLimit uint32 `cbor:"10,keyasint,omitempty" json:"warmup_flow_limit"`
 }
 
 // DefaultSettings returns the settings of a new fleet.
@@ -124,6 +127,10 @@
 		key: "max_ejected", unit: unitPercent, minValue: 1, maxValue: 100,
 		number: func(s *Settings) *uint32 { return &s.MaxEjectedPercent },
 	},
+	{
+		key: "warmup_flow_limit", unit: unitCount, minValue: 0, maxValue: 10_000, scopes: serviceScopeOnly,
+		number: func(s *Settings) *uint32 { return &s.WarmupFlowLimit },
+	},
 }
 
 // SettingKeys returns all keys in a fixed order.
--- a/core/lease/publish.go
+++ b/core/lease/publish.go
@@ -145,7 +145,7 @@
 		return view.Joining, 0
 	case ejected:
 		return m.phase, 0
-	case m.phase == view.Warming && r.hasOtherReadyMember(s, m):
+	case m.phase == view.Warming && !r.flowLimited[s.id] && r.hasOtherReadyMember(s, m):
 		return view.Warming, r.warmUpWeight(r.fullWeight(m), now-m.phaseStart)
 	}
 	return m.phase, r.fullWeight(m)
--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -22,13 +22,15 @@
 // safe for concurrent use. Times are durations since an arbitrary fixed start. The
 // views are a deterministic function of the inputs.
 type Registry struct {
-	options      Options
-	members      map[string]*member
-	holders      addressHolders
-	services     map[view.ServiceID]*service
-	serviceIDs   []view.ServiceID // keys of services, sorted
-	drainedIDs   map[string]bool
-	evacuated    map[string]bool // zones
+	options    Options
+	members    map[string]*member
+	holders    addressHolders
+	services   map[view.ServiceID]*service
+	serviceIDs []view.ServiceID // keys of services, sorted
+	drainedIDs map[string]bool
+	evacuated  map[string]bool // zones
+	// flowLimited are the services whose agents limit the new flows of cold backend servers.
+	flowLimited  map[view.ServiceID]bool
 	epoch        uint64
 	viewNumber   uint64
 	collectUntil time.Duration // end of the collection period
@@ -253,6 +255,14 @@
 	r.markAllDirty()
 }
 
+// SetFlowLimited replaces the set of services whose agents limit the new flows of cold
+// backend servers themselves. Their members have their full weight while they warm up: a
+// lower one would multiply with the limit.
+func (r *Registry) SetFlowLimited(ids map[view.ServiceID]bool) {
+	r.flowLimited = ids
+	r.markAllDirty()
+}
+
 // SetOptions replaces the options.
 func (r *Registry) SetOptions(o Options) {
 	o.setDefaults()
--- a/core/routing/agent.go
+++ b/core/routing/agent.go
@@ -57,11 +57,12 @@
 	// of the backend server. Searches rely on it, see possibleOwners.
 	RefusalOtherIncarnation
 	RefusalZoneEvacuated // operators have evacuated the agent's zone
+	RefusalColdLimit     // the backend server is cold and has its new flows of the moment
 	// RefusalCount is the number of refusals.
 	RefusalCount = iota
 )
 
-var refusalNames = [RefusalCount]string{"none", "other_service", "not_routed", "not_taking", "unknown_flow", "ended", "other_run", "zone_evacuated"}
+var refusalNames = [RefusalCount]string{"none", "other_service", "not_routed", "not_taking", "unknown_flow", "ended", "other_run", "zone_evacuated", "cold_limit"}
 
 // String returns the refusal's name in logs.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -88,6 +89,7 @@
 	isEstablished bool
 	// requestEnd is the sequence number after the last byte received from the caller.
 	requestEnd uint32
+	openSeq    uint32 // sequence number of the latest SYN delivered
 	backendFIN bool
 	callerFIN  bool
 }
@@ -120,6 +122,7 @@
 	configVersion   view.Version
 	state           BackendState
 	isZoneEvacuated bool
+	coldLimit       coldLimit
 	// silence is the time since the last message from the backend server, as counted by
 	// Tick.
 	silence time.Duration
@@ -228,7 +231,9 @@
 func (a *Agent) Load() Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Load{Flows: uint32(len(a.flows)), RunningRequests: a.runningRequests}
+	load := Load{Flows: uint32(len(a.flows)), RunningRequests: a.runningRequests}
+	load.IsCold, load.NewFlowAllowance = a.coldAllowance()
+	return load
 }
 
 // IsDown reports whether the backend server has deregistered or exceeded the silence
@@ -257,7 +262,9 @@
 	switch {
 	case s.OpensFlow():
 		a.hasReceivedSYN = true
-		a.touchFlow(now, id).balancer = info.Balancer
+		a.recordOpening(now, f, s)
+		f = a.touchFlow(now, id)
+		f.balancer, f.openSeq = info.Balancer, s.Seq
 	case f == nil && len(a.probes) < maxProbes:
 		a.probes[id] = receivedProbe{balancer: info.Balancer, at: now}
 	}
@@ -268,7 +275,10 @@
 // the agent has no record of the flow.
 func (a *Agent) checkSegment(now time.Duration, f *backendFlow, s *Segment, info ForwardInfo) Refusal {
 	if s.OpensFlow() {
-		return a.checkSYN(info, s)
+		if refusal := a.checkSYN(info, s); refusal != RefusalNone {
+			return refusal
+		}
+		return a.checkColdLimit(now, f, s)
 	}
 	switch {
 	case f != nil && f.isEstablished && a.isDown():
@@ -416,8 +426,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	wasDown := a.isDown()
+	a.coldLimit.latest = now
 	a.silence += min(now-a.lastTick, maxSilencePerTick)
-	a.lastTick = now
+	a.lastTick, a.coldLimit.latest = now, now
 	for id, f := range a.flows {
 		age := now - f.lastSeen
 		if f.isRunning && f.requestEnd == 0 && age > openingTime {
--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -40,12 +40,13 @@
 	ReasonPartialView                     // the view may lack members that own the flow
 	ReasonOverloaded                      // no member can answer another request in time
 	ReasonPlacementLimit                  // too many members have refused the flow
+	ReasonColdLimit                       // every candidate is cold and has its new flows of the moment
 	reasonCount             = iota
 )
 
 var reasonNames = [reasonCount]string{
 	"placed", "remembered", "searched", "no_route", "no_member", "not_held", "host_ended", "not_current",
-	"unanswered", "search_bound", "view_partial", "full", "place_bound",
+	"unanswered", "search_bound", "view_partial", "full", "place_bound", "cold_limit",
 }
 
 // String returns the reason's name in metrics and logs.
@@ -188,10 +189,14 @@
 	if b.loads.allOverloaded(now, t.members[service], s.Retransmits) {
 		return Decision{Verdict: Drop, Reason: ReasonOverloaded}
 	}
-	m := b.loads.selectLeastLoaded(now, t.placementCandidates(id.Key, service), b.zone)
-	if m == nil {
+	candidates := t.placementCandidates(id.Key, service)
+	if len(candidates) == 0 {
 		return b.rejectUnplaced(t, service)
 	}
+	if candidates = b.loads.withColdRoom(now, candidates); len(candidates) == 0 {
+		return Decision{Verdict: Drop, Reason: ReasonColdLimit}
+	}
+	m := b.loads.selectLeastLoaded(now, candidates, b.zone)
 	b.owners.set(now, id, owner{service: m.service, seed: m.peer.Seed, retransmits: s.Retransmits})
 	return Decision{Verdict: Forward, Reason: ReasonPlaced, To: m.peer, Service: m.service, Hops: hops}
 }
@@ -280,10 +285,16 @@
 
 // retryPlacement places a new flow again after a member has refused it.
 func (b *Balancer) retryPlacement(now time.Duration, t *Table, s *Segment, id flow.ID, r ReturnInfo) Decision {
-	if m := t.findMember(r.Service, r.Seed); m != nil {
+	m := t.findMember(r.Service, r.Seed)
+	atColdLimit := m != nil && b.loads.isAtColdLimit(now, m)
+	if m != nil && !atColdLimit {
 		b.loads.suspect(now, m)
 	}
-	if r.Hops+1 >= maxPlacementAttempts {
+	switch {
+	case r.Hops+1 < maxPlacementAttempts:
+	case atColdLimit:
+		return Decision{Verdict: Drop, Reason: ReasonColdLimit}
+	default:
 		return Decision{Verdict: Reset, Reason: ReasonPlacementLimit}
 	}
 	return b.placeFlow(now, t, s, id, r.Hops+1)
--- /dev/null
+++ b/core/routing/coldplacement.go
@@ -0,0 +1,50 @@
+package routing
+
+import "time"
+
+// lacksColdRoom reports whether the member is cold and has been given as many flows as
+// its latest report allows. A report older than the window of the limit says nothing
+// about it.
+func (ml *memberLoad) lacksColdRoom(now time.Duration) bool {
+	if !ml.report.IsCold || now-ml.reportedAt > newFlowWindow {
+		return false
+	}
+	return ml.placedSinceReport >= int(ml.report.NewFlowAllowance)
+}
+
+// withColdRoom returns the candidates other than cold members that take no new flow at the
+// moment. It answers the return of many cold backend servers at once: they have the least
+// load, and flows placed on them beyond their limit would be refused one after the other.
+func (l *loadTracker) withColdRoom(now time.Duration, candidates []*member) []*member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*member, 0, len(candidates))
+	for _, m := range candidates {
+		if !l.loadOf(m).lacksColdRoom(now) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// isAtColdLimit reports whether a member that has refused a flow did so for its limit:
+// its agent has sent its load before the refusal.
+func (l *loadTracker) isAtColdLimit(now time.Duration, m *member) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.loadOf(m).lacksColdRoom(now)
+}
+
+// ColdMembers returns the number of members that have reported to be cold. Reports that
+// have expired do not count.
+func (b *Balancer) ColdMembers(now time.Duration) int {
+	b.loads.mu.Lock()
+	defer b.loads.mu.Unlock()
+	n := 0
+	for _, ml := range b.loads.byMember {
+		if ml.validReport(now).IsCold {
+			n++
+		}
+	}
+	return n
+}
--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -69,6 +69,8 @@
 	reportedAt     time.Duration
 	placedAt       []time.Duration // of the flows not yet confirmed
 	suspectedUntil time.Duration
+	// placedSinceReport is the number of flows placed since the latest report.
+	placedSinceReport int
 	// isUnresponsive is set if the member has left a probe unanswered.
 	isUnresponsive bool
 }
@@ -92,6 +94,7 @@
 	defer l.mu.Unlock()
 	ml := l.loadOf(m)
 	ml.report, ml.reportedAt, ml.suspectedUntil, ml.isUnresponsive = load, now, 0, false
+	ml.placedSinceReport = 0
 }
 
 // suspect excludes a member from placement for suspectTime.
@@ -188,6 +191,7 @@
 	if best != nil {
 		ml := l.loadOf(best)
 		ml.placedAt = append(ml.placedAt, now)
+		ml.placedSinceReport++
 	}
 	return best
 }
--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -37,7 +37,10 @@
 	Backend Backend
 	// Imports holds the configuration; nil without the control role.
 	Imports Imports
-	Log     *zap.Logger
+	// WarmupOvershoot and WarmupSlack are the factor and the addition by which what a cold
+	// backend server bears limits its new flows; nil where nothing limits them.
+	WarmupOvershoot, WarmupSlack *float64
+	Log                          *zap.Logger
 }
 
 // Backend takes what a backend server says of itself.
--- a/internal/inifile/reader.go
+++ b/internal/inifile/reader.go
@@ -102,6 +102,20 @@
 	return n
 }
 
+// Number returns a number from low to high, or nil if the key is missing or empty.
+func (r *Reader) Number(key string, low, high float64) *float64 {
+	text := r.String(key, "")
+	if text == "" {
+		return nil
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(n >= low && n <= high) {
+		r.Fail(key, "%q is not a number from %g to %g", text, low, high)
+		return nil
+	}
+	return &n
+}
+
 // Duration returns a duration such as 250ms, 30s or 24h from low to high, or def.
 func (r *Reader) Duration(key string, def, low, high time.Duration) time.Duration {
 	text := r.String(key, "")
--- a/internal/node/segments.go
+++ b/internal/node/segments.go
@@ -100,8 +100,9 @@
 func adapterOptions(o Options, running *[]role) adapter.Options {
 	options := adapter.Options{
 		Readiness: o.Settings.Adapter.Readiness, Operators: o.Settings.Adapter.Operators,
-		Ready: func() bool { return allReady(*running) },
-		Log:   o.Log.Named("platform"),
+		Ready:           func() bool { return allReady(*running) },
+		WarmupOvershoot: o.Settings.Adapter.WarmupFactor, WarmupSlack: o.Settings.Adapter.WarmupExtra,
+		Log: o.Log.Named("platform"),
 	}
 	for _, r := range *running {
 		if agent, ok := r.(*segment.Agent); ok {
--- a/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -186,6 +186,7 @@
 // replaceServices publishes what differs from the services before. The caller
 // holds the lock.
 func (c *term) replaceServices(services []proto.Service) {
+	c.setFlowLimited(services)
 	old := c.services
 	c.services = make(map[string]proto.Service, len(services))
 	c.names = make(map[view.ServiceID]string, len(services))
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -136,6 +136,7 @@
 				addrs = append(addrs, in.Addr)
 			}
 		}
+		a.steer.SetColdLimit(s.Settings.WarmupFlowLimit)
 		a.setService(s.ID, s.Version, addrs)
 	}
 	for _, name := range u.Removed {
@@ -181,6 +182,9 @@
 		Hops: h.Flow.Hops, OwnerKnown: h.Flow.EarlierPicksComplete,
 	}
 	decision := a.steer.Receive(now, &header.Segment, forwardInfo)
+	if decision.Refusal == routing.RefusalColdLimit {
+		a.reportLoad(h.ReplyTo) // first: it tells the balancer why
+	}
 	if decision.Refusal != routing.RefusalNone {
 		a.returnSegment(&header.Segment, forwardInfo, decision.Refusal, payload)
 		return
--- /dev/null
+++ b/internal/segment/cold_test.go
@@ -0,0 +1,98 @@
+package segment_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fulmarmount.org/core/routing"
+	"fulmarmount.org/fulmarmount/internal/proto"
+	"fulmarmount.org/fulmarmount/internal/segment"
+)
+
+// testClock is a clock that stands still unless it is moved.
+type testClock struct {
+	start  time.Time
+	offset atomic.Int64
+}
+
+func (c *testClock) now() time.Time          { return c.start.Add(time.Duration(c.offset.Load())) }
+func (c *testClock) advance(d time.Duration) { c.offset.Add(int64(d)) }
+
+const testColdLimit = 3
+
+// startColdFleet starts a fleet with a limit for cold backend servers: a cold one whose
+// agent has a clock of its own, and a warm one.
+func startColdFleet(t *testing.T, adjust func(*segment.BackendReport)) (f *fleet, cold *backendServer, agent *segment.Agent, clock *testClock) {
+	t.Helper()
+	is := is.New(t)
+	f = newFleet(t)
+	desk := f.desk()
+	desk.Settings.WarmupFlowLimit = testColdLimit
+	f.control.SetServices([]proto.Service{desk})
+	clock = &testClock{start: time.Now()}
+	cold, agent = f.startBackend("host-1")
+	is.NoErr(agent.Stop(context.Background()))
+	options := f.agentOptions(cold)
+	options.Now = clock.now
+	agent, err := segment.StartAgent(options)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = agent.Stop(context.Background()) })
+	f.waitFor("the agent has its configuration", agent.Ready)
+	report := cold.report(1)
+	report.WarmupRemaining = 5 * time.Second
+	adjust(&report)
+	is.NoErr(agent.HandleReport(report))
+	warm, other := f.startBackend("host-2")
+	is.NoErr(other.HandleReport(warm.report(1)))
+	f.startBalancer(2)
+	return f, cold, agent, clock
+}
+
+// The agent holds the limit, whatever the balancer places; what it refuses is served by
+// others at once, and it takes flows again as soon as its limit allows.
+func TestColdBackendServerIsNotOverrun(t *testing.T) {
+	is := is.New(t)
+	f, cold, agent, clock := startColdFleet(t, func(*segment.BackendReport) {})
+	c := f.newCaller()
+	openFlows(c, 1000, 1040)
+	is.Equal(cold.flowCount(), testColdLimit)
+	counters := agent.Counters().(segment.AgentCounters)
+	is.True(counters.Cold)
+	is.Equal(counters.NewFlowAllowance, uint16(0))
+	is.True(counters.Refusals[routing.RefusalColdLimit.String()] < 40) // the balancer learns of the limit
+
+	port := 2000
+	takesMore := func(n int) func() bool {
+		return func() bool {
+			openFlows(c, port, port+1)
+			port++
+			return cold.flowCount() >= n
+		}
+	}
+	clock.advance(1100 * time.Millisecond)
+	f.waitFor("the cold backend server takes flows again", takesMore(2*testColdLimit))
+	openFlows(c, 3000, 3020)
+	is.Equal(cold.flowCount(), 2*testColdLimit)
+
+	clock.advance(4 * time.Second) // it is warm, by the time since its report arrived
+	f.waitFor("the warm backend server takes more than its limit", takesMore(4*testColdLimit))
+	is.True(!agent.Counters().(segment.AgentCounters).Cold)
+}
+
+// A step of the VM's clock moves the time at which the backend server says that it has
+// started. The warm-up is counted from its report and stays as it was.
+func TestClockStepChangesNoWarmup(t *testing.T) {
+	for _, step := range []time.Duration{-24 * time.Hour, 30 * time.Minute} {
+		is := is.New(t)
+		f, cold, agent, clock := startColdFleet(t, func(r *segment.BackendReport) { r.StartedAt = time.Now().Add(step) })
+		openFlows(f.newCaller(), 1000, 1020)
+		is.Equal(cold.flowCount(), testColdLimit)
+		is.True(agent.Counters().(segment.AgentCounters).Cold)
+		clock.advance(6 * time.Second)
+		f.waitFor("the backend server is warm", func() bool { return !agent.Counters().(segment.AgentCounters).Cold })
+	}
+}
--- a/internal/segment/dump.go
+++ b/internal/segment/dump.go
@@ -34,7 +34,7 @@
 	return BalancerCounters{
 		Decisions: b.decisionCounters.countsByReason(), Returned: b.decisionCounters.returned.Load(), Resets: b.decisionCounters.resets.Load(),
 		Notifications: b.decisionCounters.notifications.Load(), Failed: b.counters.socketErrors.Load(), Refused: b.counters.rejectedEnvelopes.Load(),
-		Garbled: b.counters.malformedPackets.Load(), CachedFlows: b.router.CachedFlows(), PlacementLatency: b.placementLatency.Summary(),
+		Garbled: b.counters.malformedPackets.Load(), CachedFlows: b.router.CachedFlows(), ColdMembers: b.router.ColdMembers(b.elapsed()), PlacementLatency: b.placementLatency.Summary(),
 	}
 }
 
@@ -65,6 +65,7 @@
 	return AgentCounters{
 		Delivered: a.delivered.Load(), Replied: a.replied.Load(), Returned: a.returned.Load(), Bounced: a.bounced.Load(),
 		Refusals: a.refused.counts(), ZoneEvacuated: a.steer.IsZoneEvacuated(),
+		Cold: load.IsCold, NewFlowAllowance: load.NewFlowAllowance,
 		Reports: a.reports.Load(), Failed: a.counters.socketErrors.Load(),
 		Refused: a.counters.rejectedEnvelopes.Load(), Garbled: a.counters.malformedPackets.Load(),
 		Flows: load.Flows, RunningRequests: load.RunningRequests, ResponseLatency: a.responseLatency.Summary(),
--- a/internal/segment/metrics.go
+++ b/internal/segment/metrics.go
@@ -25,6 +25,8 @@
 	Refused       uint64            `json:"refused"`
 	Garbled       uint64            `json:"garbled"`
 	CachedFlows   int               `json:"flows"`
+	// ColdMembers is the number of backend servers that have reported to be cold.
+	ColdMembers int `json:"cold"`
 	// PlacementLatency is the time from the first SYN to the notification of the
 	// flow's owner.
 	PlacementLatency histogram.Summary `json:"placing"`
@@ -60,14 +62,18 @@
 	// Refusals counts the returned segments by reason.
 	Refusals map[string]uint64 `json:"refusals,omitempty"`
 	// ZoneEvacuated is set while operators have evacuated the agent's zone.
-	ZoneEvacuated   bool   `json:"zone_evacuated"`
-	Bounced         uint64 `json:"bounced"`
-	Reports         uint64 `json:"reports"`
-	Failed          uint64 `json:"failed"`
-	Refused         uint64 `json:"refused"`
-	Garbled         uint64 `json:"garbled"`
-	Flows           uint32 `json:"flows"`
-	RunningRequests uint32 `json:"running"`
+	ZoneEvacuated bool `json:"zone_evacuated"`
+	// Cold is set while the backend server warms up under a limit of new flows.
+	// NewFlowAllowance is the number that it takes at the moment.
+	Cold             bool   `json:"cold"`
+	NewFlowAllowance uint16 `json:"new_flow_allowance"`
+	Bounced          uint64 `json:"bounced"`
+	Reports          uint64 `json:"reports"`
+	Failed           uint64 `json:"failed"`
+	Refused          uint64 `json:"refused"`
+	Garbled          uint64 `json:"garbled"`
+	Flows            uint32 `json:"flows"`
+	RunningRequests  uint32 `json:"running"`
 	// ResponseLatency is the time from the last segment of a request to the first
 	// segment of its response.
 	ResponseLatency histogram.Summary `json:"answering"`
--- a/internal/settings/segments.go
+++ b/internal/settings/segments.go
@@ -13,6 +13,7 @@
 	maxDelay         = time.Minute
 	maxTick          = time.Second
 	maxPort          = 65535
+	maxWarmupNumber  = 10_000
 	defaultLeaveTime = 2 * time.Second
 	defaultPatience  = 3 * time.Second
 )
@@ -88,5 +89,8 @@
 }
 
 func (p *parser) adapter(out *Process, r *inifile.Reader) {
-	out.Adapter = Adapter{Readiness: r.Addr("readiness"), Operators: r.Addr("operators")}
+	out.Adapter = Adapter{
+		Readiness: r.Addr("readiness"), Operators: r.Addr("operators"),
+		WarmupFactor: r.Number("warmup_factor", 0, maxWarmupNumber), WarmupExtra: r.Number("warmup_extra", 0, maxWarmupNumber),
+	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -135,6 +135,8 @@
 		{"one socket twice", "127.0.0.1:7001", "127.0.0.1:7000", "duplicate address 127.0.0.1:7000"},
 		{"address zone", "127.0.0.1:7001", "[fe80::1%eth0]:7001", "not an IP address"},
 		{"quoted value", "daejeon-a", "`daejeon-a", "not supported"},
+		{"word for a number", "[balancer]", "[adapter]\nwarmup_factor = much\n[balancer]", "not a number from 0"},
+		{"negative number", "[balancer]", "[adapter]\nwarmup_extra = -1\n[balancer]", "not a number from 0"},
 		{"long socket", "admin.sock", strings.Repeat("a", 120), "longer than"},
 	}
 	for _, tt := range tests {
