Place no new flow behind a queue while a candidate has a free slot

Change: a request that waits for a slot outweighs open flows; cold members without a free slot are left out while another candidate has room.

--- a/core/routing/coldplacement.go
+++ b/core/routing/coldplacement.go
@@ -2,10 +2,15 @@
 
 import "time"
 
-// lacksColdRoom reports whether the member is cold and has been given as many flows as
-// its latest report allows. A report older than the window of the limit says nothing
-// about it.
-func (ml *memberLoad) lacksColdRoom(now time.Duration) bool {
+// isColdAndFull reports whether the member is cold and has no free slot. A request that
+// waits there meets the time of a slow one.
+func (ml *memberLoad) isColdAndFull(now time.Duration, m *member) bool {
+	return ml.validReport(now).IsCold && ml.running(now) >= int(m.slots)
+}
+
+// isAtColdLimit reports whether the member is cold and has been given as many flows as its
+// latest report allows. A report older than the window of the limit says nothing about it.
+func (ml *memberLoad) isAtColdLimit(now time.Duration) bool {
 	if !ml.report.IsCold || now-ml.reportedAt > newFlowWindow {
 		return false
 	}
@@ -13,18 +18,27 @@
 }
 
 // withColdRoom returns the candidates other than cold members that take no new flow at the
-// moment. It answers the return of many cold backend servers at once: they have the least
+// moment. Of the others it leaves out cold ones without a free slot, unless there are no
+// more. It answers the return of many cold backend servers at once: they have the least
 // load, and flows placed on them beyond their limit would be refused one after the other.
 func (l *loadTracker) withColdRoom(now time.Duration, candidates []*member) []*member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make([]*member, 0, len(candidates))
+	accepting, preferred := make([]*member, 0, len(candidates)), make([]*member, 0, len(candidates))
 	for _, m := range candidates {
-		if !l.loadOf(m).lacksColdRoom(now) {
-			out = append(out, m)
+		ml := l.loadOf(m)
+		if ml.isAtColdLimit(now) {
+			continue
 		}
+		accepting = append(accepting, m)
+		if !ml.isColdAndFull(now, m) {
+			preferred = append(preferred, m)
+		}
+	}
+	if len(preferred) > 0 {
+		return preferred
 	}
-	return out
+	return accepting
 }
 
 // isAtColdLimit reports whether a member that has refused a flow did so for its limit:
@@ -32,7 +46,7 @@
 func (l *loadTracker) isAtColdLimit(now time.Duration, m *member) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.loadOf(m).lacksColdRoom(now)
+	return l.loadOf(m).isAtColdLimit(now)
 }
 
 // ColdMembers returns the number of members that have reported to be cold. Reports that
--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -246,5 +246,5 @@
 func (ml *memberLoad) cost(now time.Duration, m *member) uint64 {
 	report := ml.validReport(now)
 	total := uint64(report.Flows)*flowCost + (uint64(report.RunningRequests)+uint64(ml.recentPlacements(now)))*requestCost
-	return total * view.FullWeight / (uint64(m.slots) * uint64(max(m.weight, 1)))
+	return total*view.FullWeight/(uint64(m.slots)*uint64(max(m.weight, 1))) + ml.queueLoad(now, m)
 }
