--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -33,14 +33,14 @@
 	Readiness, Operators netip.AddrPort
 	// Ready reports whether callers may be sent to the process.
 	Ready func() bool
+	// WarmupOvershoot and WarmupSlack are the factor and the addition by which what a cold
+	// backend server bears limits its new flows; nil where nothing limits them.
+	WarmupOvershoot, WarmupSlack *float64
 	// Backend takes what the backend server says; nil without the agent role.
 	Backend Backend
 	// Imports holds the configuration; nil without the control role.
 	Imports Imports
-	// WarmupOvershoot and WarmupSlack are the factor and the addition by which what a cold
-	// backend server bears limits its new flows; nil where nothing limits them.
-	WarmupOvershoot, WarmupSlack *float64
-	Log                          *zap.Logger
+	Log     *zap.Logger
 }
 
 // Backend takes what a backend server says of itself.
--- a/internal/node/segments.go
+++ b/internal/node/segments.go
@@ -101,7 +101,7 @@
 	options := adapter.Options{
 		Readiness: o.Settings.Adapter.Readiness, Operators: o.Settings.Adapter.Operators,
 		Ready:           func() bool { return allReady(*running) },
-		WarmupOvershoot: o.Settings.Adapter.WarmupFactor, WarmupSlack: o.Settings.Adapter.WarmupExtra,
+		WarmupOvershoot: o.Settings.Warmup.Factor, WarmupSlack: o.Settings.Warmup.Extra,
 		Log: o.Log.Named("platform"),
 	}
 	for _, r := range *running {
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -94,6 +94,7 @@
 	p.agents(process)
 	p.segments(process, p.section("segments"))
 	p.adapter(process, p.section("adapter"))
+	p.warmup(process, p.section("adapter"))
 	p.checkRoles(process)
 	p.checkAddresses(process)
 	p.done()
--- a/internal/settings/segments.go
+++ b/internal/settings/segments.go
@@ -13,7 +13,6 @@
 	maxDelay         = time.Minute
 	maxTick          = time.Second
 	maxPort          = 65535
-	maxWarmupNumber  = 10_000
 	defaultLeaveTime = 2 * time.Second
 	defaultPatience  = 3 * time.Second
 )
@@ -89,8 +88,5 @@
 }
 
 func (p *parser) adapter(out *Process, r *inifile.Reader) {
-	out.Adapter = Adapter{
-		Readiness: r.Addr("readiness"), Operators: r.Addr("operators"),
-		WarmupFactor: r.Number("warmup_factor", 0, maxWarmupNumber), WarmupExtra: r.Number("warmup_extra", 0, maxWarmupNumber),
-	}
+	out.Adapter = Adapter{Readiness: r.Addr("readiness"), Operators: r.Addr("operators")}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,6 +48,7 @@
 	Control  Control
 	Join     Join
 	Balancer Balancer
+	Warmup   Warmup
 	// Segments is set where the balancer or agent role serves services of mode
 	// segment, and these alone.
 	Segments *Segments
@@ -127,9 +128,6 @@
 	// Operators is for operators on control processes, and for the backend
 	// server on agents.
 	Operators netip.AddrPort
-	// WarmupFactor and WarmupExtra turn what a cold backend server bears into the number
-	// of new flows that it takes in a second; nil where nothing limits them.
-	WarmupFactor, WarmupExtra *float64
 }
 
 // Enabled reports whether any address is set.
--- /dev/null
+++ b/internal/settings/warmup.go
@@ -0,0 +1,16 @@
+package settings
+
+import "fulmarmount.org/fulmarmount/internal/inifile"
+
+// Warmup turns what a cold backend server bears into the number of new flows that it takes
+// in a second. The numbers are nil where nothing limits them.
+type Warmup struct {
+	Factor, Extra *float64
+}
+
+// maxWarmupNumber is the greatest factor, and the most new flows, that can be set.
+const maxWarmupNumber = 10_000
+
+func (p *parser) warmup(out *Process, r *inifile.Reader) {
+	out.Warmup = Warmup{Factor: r.Number("warmup_factor", 0, maxWarmupNumber), Extra: r.Number("warmup_extra", 0, maxWarmupNumber)}
+}
