Merge evacuated zones in force and cold backend servers

Cause: an evacuation was recorded and nothing acted on it; remaining warm-up was read and only logged. Change: views list members of evacuated zones as draining, agents refuse new flows there; agents hold a limit of new flows while their backend server is cold.

--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -22,12 +22,15 @@
 // safe for concurrent use. Times are durations since an arbitrary fixed start. The
 // views are a deterministic function of the inputs.
 type Registry struct {
-	options      Options
-	members      map[string]*member
-	holders      addressHolders
-	services     map[view.ServiceID]*service
-	serviceIDs   []view.ServiceID // keys of services, sorted
-	drainedIDs   map[string]bool
+	options    Options
+	members    map[string]*member
+	holders    addressHolders
+	services   map[view.ServiceID]*service
+	serviceIDs []view.ServiceID // keys of services, sorted
+	drainedIDs map[string]bool
+	evacuated  map[string]bool // zones
+	// flowLimited are the services whose agents limit the new flows of cold backend servers.
+	flowLimited  map[view.ServiceID]bool
 	epoch        uint64
 	viewNumber   uint64
 	collectUntil time.Duration // end of the collection period
@@ -70,6 +73,7 @@
 		holders:    make(addressHolders),
 		services:   make(map[view.ServiceID]*service),
 		drainedIDs: make(map[string]bool),
+		evacuated:  make(map[string]bool),
 	}
 }
 
@@ -107,7 +111,7 @@
 		}
 		m := &member{
 			id: b.ID, service: v.Service, announcedAt: now, phase: b.State, phaseStart: now,
-			joinedAt: v.Version, drainedByOperator: r.drainedIDs[b.ID], wasListed: true,
+			joinedAt: v.Version, drainedByOperator: r.drainedIDs[b.ID], inEvacuatedZone: r.evacuated[b.Zone], wasListed: true,
 		}
 		m.announcement = view.Announcement{
 			ID: b.ID, Zone: b.Zone, Incarnation: b.Incarnation, Healthy: true,
@@ -214,7 +218,7 @@
 		m.phase, m.phaseStart = view.Warming, now
 		s.dirty = true
 	}
-	m.announcement, m.announcedAt = a, now
+	m.announcement, m.announcedAt, m.inEvacuatedZone = a, now, r.evacuated[a.Zone]
 }
 
 func (r *Registry) ensureService(id view.ServiceID) *service {
@@ -251,6 +255,14 @@
 	r.markAllDirty()
 }
 
+// SetFlowLimited replaces the set of services whose agents limit the new flows of cold
+// backend servers themselves. Their members have their full weight while they warm up: a
+// lower one would multiply with the limit.
+func (r *Registry) SetFlowLimited(ids map[view.ServiceID]bool) {
+	r.flowLimited = ids
+	r.markAllDirty()
+}
+
 // SetOptions replaces the options.
 func (r *Registry) SetOptions(o Options) {
 	o.setDefaults()
--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -69,6 +69,8 @@
 	reportedAt     time.Duration
 	placedAt       []time.Duration // of the flows not yet confirmed
 	suspectedUntil time.Duration
+	// placedSinceReport is the number of flows placed since the latest report.
+	placedSinceReport int
 	// isUnresponsive is set if the member has left a probe unanswered.
 	isUnresponsive bool
 }
@@ -92,6 +94,7 @@
 	defer l.mu.Unlock()
 	ml := l.loadOf(m)
 	ml.report, ml.reportedAt, ml.suspectedUntil, ml.isUnresponsive = load, now, 0, false
+	ml.placedSinceReport = 0
 }
 
 // suspect excludes a member from placement for suspectTime.
@@ -188,6 +191,7 @@
 	if best != nil {
 		ml := l.loadOf(best)
 		ml.placedAt = append(ml.placedAt, now)
+		ml.placedSinceReport++
 	}
 	return best
 }
@@ -242,5 +246,5 @@
 func (ml *memberLoad) cost(now time.Duration, m *member) uint64 {
 	report := ml.validReport(now)
 	total := uint64(report.Flows)*flowCost + (uint64(report.RunningRequests)+uint64(ml.recentPlacements(now)))*requestCost
-	return total * view.FullWeight / (uint64(m.slots) * uint64(max(m.weight, 1)))
+	return total*view.FullWeight/(uint64(m.slots)*uint64(max(m.weight, 1))) + ml.queueLoad(now, m)
 }
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -50,6 +50,7 @@
 	replied         atomic.Uint64
 	returned        atomic.Uint64
 	bounced         atomic.Uint64
+	refused         refusalCounters
 	reports         atomic.Uint64
 	responseLatency histogram.Histogram
 	requestTimes    startTimes
@@ -122,8 +123,12 @@
 	return err
 }
 
-// applyUpdate activates the service's configuration.
+// applyUpdate activates the service's configuration, and what operators have ordered of
+// availability zones before it.
 func (a *Agent) applyUpdate(u proto.Update) {
+	if u.Zones != nil {
+		a.setZones(u.Zones)
+	}
 	for _, s := range u.Services {
 		var addrs []netip.AddrPort
 		for _, in := range s.Inbound {
@@ -131,6 +136,7 @@
 				addrs = append(addrs, in.Addr)
 			}
 		}
+		a.steer.SetColdLimit(s.Settings.WarmupFlowLimit)
 		a.setService(s.ID, s.Version, addrs)
 	}
 	for _, name := range u.Removed {
@@ -176,6 +182,9 @@
 		Hops: h.Flow.Hops, OwnerKnown: h.Flow.EarlierPicksComplete,
 	}
 	decision := a.steer.Receive(now, &header.Segment, forwardInfo)
+	if decision.Refusal == routing.RefusalColdLimit {
+		a.reportLoad(h.ReplyTo) // first: it tells the balancer why
+	}
 	if decision.Refusal != routing.RefusalNone {
 		a.returnSegment(&header.Segment, forwardInfo, decision.Refusal, payload)
 		return
@@ -207,6 +216,7 @@
 // returnSegment returns a refused segment to the balancer that forwarded it.
 func (a *Agent) returnSegment(s *routing.Segment, forwardInfo routing.ForwardInfo, refusal routing.Refusal, payload []byte) {
 	a.returned.Add(1)
+	a.refused.count(refusal)
 	a.options.Log.Info("Returned a refused segment to its balancer.",
 		zap.Stringer("caller", s.Tuple.Caller), zap.Stringer("address", s.Tuple.Service), zap.Bool("opens", s.OpensFlow()),
 		zap.Uint32("seq", s.Seq), zap.Stringer("refusal", refusal), zap.Stringer("balancer", forwardInfo.Balancer), zap.Uint8("hops", forwardInfo.Hops))
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -74,6 +74,7 @@
 	hasChanged := r.Incarnation != previous.Incarnation || r.Draining != previous.Draining || r.Slots != previous.Slots
 	a.report, a.announcementCount = r, 0
 	a.steer.SetState(state)
+	a.steer.SetWarmup(a.elapsed(), r.WarmupRemaining)
 	a.reports.Add(1)
 	if hasChanged {
 		a.options.Log.Info("Backend server's state changed.", zap.String("id", r.ID), zap.String("service", r.Service),
@@ -119,14 +120,19 @@
 	}
 	ctx, cancel := context.WithCancel(a.ctx)
 	a.unsubscribe = cancel
+	isFirst := true
 	applyUpdate := func(u proto.Update) {
+		if isFirst && u.Zones == nil {
+			u.Zones = &proto.Zones{} // an earlier subscription may have named some
+		}
+		isFirst = false
 		if ctx.Err() == nil {
 			a.applyUpdate(u)
 		}
 	}
 	a.tasks.Go(func() {
 		subscribe.Run(ctx, subscribe.Options{
-			Name: a.options.Name, Keys: []string{proto.ServiceKey(service)}, Control: a.options.ControlAddrs,
+			Name: a.options.Name, Keys: []string{proto.ServiceKey(service), proto.ZonesKey}, Control: a.options.ControlAddrs,
 			Retry: a.options.Retry, Pool: a.pool, Adopt: applyUpdate, Now: a.options.Now, Log: a.options.Log,
 		})
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,6 +48,7 @@
 	Control  Control
 	Join     Join
 	Balancer Balancer
+	Warmup   Warmup
 	// Segments is set where the balancer or agent role serves services of mode
 	// segment, and these alone.
 	Segments *Segments
