Let operators say what 0 requests a second of a cold backend server means

Cause: documents say that a cold backend server bears 0 requests a second. The safe reading, a limit of the addition alone, costs callers much after a loss of all processes; whether it is meant is an open question. Change: [adapter] warmup_zero, limited (the default) or unlimited. Conclusion: the reading is one line of the settings.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -36,6 +36,9 @@
 	// WarmupOvershoot and WarmupSlack are the factor and the addition by which what a cold
 	// backend server bears limits its new flows; nil where nothing limits them.
 	WarmupOvershoot, WarmupSlack *float64
+	// WarmupZeroIsUnlimited is set if a cold backend server said to bear 0 requests a
+	// second has no limit.
+	WarmupZeroIsUnlimited bool
 	// Backend takes what the backend server says; nil without the agent role.
 	Backend Backend
 	// Imports holds the configuration; nil without the control role.
--- a/internal/node/segments.go
+++ b/internal/node/segments.go
@@ -80,7 +80,7 @@
 	options := adapter.Options{
 		Readiness: o.Settings.Adapter.Readiness, Operators: o.Settings.Adapter.Operators,
 		Ready:           func() bool { return allReady(*running) },
-		WarmupOvershoot: o.Settings.Warmup.Factor, WarmupSlack: o.Settings.Warmup.Extra,
+		WarmupOvershoot: o.Settings.Warmup.Factor, WarmupSlack: o.Settings.Warmup.Extra, WarmupZeroIsUnlimited: o.Settings.Warmup.ZeroIsUnlimited,
 		Log: o.Log.Named("platform"),
 	}
 	for _, r := range *running {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -137,6 +137,7 @@
 		{"quoted value", "daejeon-a", "`daejeon-a", "not supported"},
 		{"word for a number", "[balancer]", "[adapter]\nwarmup_factor = much\n[balancer]", "not a number from 0"},
 		{"negative number", "[balancer]", "[adapter]\nwarmup_extra = -1\n[balancer]", "not a number from 0"},
+		{"word that is no choice", "[balancer]", "[adapter]\nwarmup_zero = maybe\n[balancer]", "unlimited"},
 		{"long socket", "admin.sock", strings.Repeat("a", 120), "longer than"},
 	}
 	for _, tt := range tests {
--- a/internal/settings/warmup.go
+++ b/internal/settings/warmup.go
@@ -6,11 +6,17 @@
 // in a second. The numbers are nil where nothing limits them.
 type Warmup struct {
 	Factor, Extra *float64
+	// ZeroIsUnlimited is set if a backend server said to bear 0 requests a second has no
+	// limit. Otherwise it takes Extra alone.
+	ZeroIsUnlimited bool
 }
 
 // maxWarmupNumber is the greatest factor, and the most new flows, that can be set.
 const maxWarmupNumber = 10_000
 
 func (p *parser) warmup(out *Process, r *inifile.Reader) {
-	out.Warmup = Warmup{Factor: r.Number("warmup_factor", 0, maxWarmupNumber), Extra: r.Number("warmup_extra", 0, maxWarmupNumber)}
+	out.Warmup = Warmup{
+		Factor: r.Number("warmup_factor", 0, maxWarmupNumber), Extra: r.Number("warmup_extra", 0, maxWarmupNumber),
+		ZeroIsUnlimited: r.Enum("warmup_zero", "limited", "limited", "unlimited") == "unlimited",
+	}
 }
