Place new flows by the measured speed of backend servers

Cause: backend servers of a service differ in speed, and flows were placed as if all were equally fast. The slow ones fill up first.

Change: the agent measures how long a request occupies a slot, as the busy time of slots over answered requests, and reports it. Balancers scale the load of a member, open flows included, by its service time relative to the middle of its service.

--- a/core/fleet/settings.go
+++ b/core/fleet/settings.go
@@ -40,6 +40,9 @@
 	// MaxEjectedPercent is the maximum percentage of a service's backend servers that
 	// may be ejected as unhealthy at the same time.
 	MaxEjectedPercent uint32 `cbor:"9,keyasint" json:"max_ejected"`
+	// MeasuredCapacity is 1 if new flows are placed by the service times that agents
+	// measure, and 0 if all backend servers count as equally fast.
+	MeasuredCapacity uint32 `cbor:"20,keyasint,omitempty" json:"measured_capacity,omitempty"`
 }
 
 // DefaultSettings returns the settings of a new fleet.
@@ -64,8 +67,12 @@
 	unitDuration unit = iota
 	unitCount
 	unitPercent
+	unitSwitch
 )
 
+// switchTexts are the texts of the values 0 and 1 of a switch.
+var switchTexts = [...]string{"off", "on"}
+
 // settingSpec describes one key of Settings. minValue and maxValue are in the unit of
 // the field: nanoseconds, a count or percent.
 type settingSpec struct {
@@ -124,6 +131,10 @@
 		key: "max_ejected", unit: unitPercent, minValue: 1, maxValue: 100,
 		number: func(s *Settings) *uint32 { return &s.MaxEjectedPercent },
 	},
+	{
+		key: "measured_capacity", unit: unitSwitch, minValue: 0, maxValue: 1, scopes: serviceScopeOnly,
+		number: func(s *Settings) *uint32 { return &s.MeasuredCapacity },
+	},
 }
 
 // SettingKeys returns all keys in a fixed order.
@@ -144,7 +155,7 @@
 }
 
 // Set parses value and sets key to it. Durations are written as 250ms, 30s or
-// 24h, percentages as 10%. If it returns an error, s is unchanged.
+// 24h, percentages as 10%, switches as on or off. If it returns an error, s is unchanged.
 func (s *Settings) Set(key SettingKey, value string) error {
 	spec := findSetting(key)
 	if spec == nil {
@@ -189,6 +200,12 @@
 		if err != nil || !ok {
 			return 0, ErrInvalidValue.New("%q is not a whole percentage such as 10%%", value)
 		}
+	case unitSwitch:
+		i := slices.Index(switchTexts[:], value)
+		if i < 0 {
+			return 0, ErrInvalidValue.New("%q is neither on nor off", value)
+		}
+		n = int64(i)
 	}
 	return n, spec.check(n)
 }
@@ -206,6 +223,8 @@
 		return time.Duration(n).String()
 	case unitPercent:
 		return fmt.Sprintf("%d%%", n)
+	case unitSwitch:
+		return switchTexts[min(max(n, 0), 1)]
 	default:
 		return strconv.FormatInt(n, 10)
 	}
--- a/core/routing/agent.go
+++ b/core/routing/agent.go
@@ -88,6 +88,9 @@
 	requestEnd uint32
 	backendFIN bool
 	callerFIN  bool
+	// hasRequest is set while a request has no response; it began at requestStart.
+	hasRequest   bool
+	requestStart time.Duration
 }
 
 const (
@@ -135,6 +138,8 @@
 	runningRequests uint32
 	deliveries      [maxDeliveries]delivery
 	lastToken       uint32
+	// meter measures how long requests occupy the slots of the backend server.
+	meter slotMeter
 }
 
 // receivedProbe is a balancer's probe for a flow.
@@ -196,6 +201,7 @@
 	clear(a.flows)
 	clear(a.probes)
 	a.runningRequests = 0
+	a.meter.reset()
 	a.hasAllFlows = !mayHaveFlows
 	a.hasReceivedSYN = mayHaveFlows
 }
@@ -225,7 +231,9 @@
 func (a *Agent) Load() Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Load{Flows: uint32(len(a.flows)), RunningRequests: a.runningRequests}
+	return Load{
+		Flows: uint32(len(a.flows)), RunningRequests: a.runningRequests, ServiceTime: toMicroseconds(a.meter.serviceTime()),
+	}
 }
 
 // IsDown reports whether the backend server has deregistered or exceeded the silence
@@ -319,8 +327,10 @@
 	switch {
 	case f.callerFIN:
 		a.setRunning(f, false) // the caller no longer waits for a response
+		a.endRequest(now, f, false)
 	case s.Length > 0 && f.advanceRequest(s):
 		a.setRunning(f, true)
+		a.beginRequest(now, f)
 	}
 }
 
@@ -364,17 +374,18 @@
 	defer a.mu.Unlock()
 	a.silence = 0
 	id := s.Tuple.ID()
-	a.removeFlow(id)
+	a.removeFlow(a.lastTick, id)
 	delete(a.probes, id)
 	d := a.deliveries[token%maxDeliveries]
 	return d.forwardInfo, token != 0 && d.token == token
 }
 
-func (a *Agent) removeFlow(id flow.ID) {
+func (a *Agent) removeFlow(now time.Duration, id flow.ID) {
 	f := a.flows[id]
 	if f == nil {
 		return
 	}
+	a.endRequest(now, f, false)
 	a.setRunning(f, false)
 	delete(a.flows, id)
 }
@@ -387,12 +398,13 @@
 	a.silence = 0
 	id := s.Tuple.ID()
 	if s.HasFlags(RST) {
-		a.removeFlow(id)
+		a.removeFlow(now, id)
 		return netip.AddrPort{}
 	}
 	f := a.touchFlow(now, id)
 	if s.Length > 0 {
 		a.setRunning(f, false)
+		a.endRequest(now, f, true)
 	}
 	f.backendFIN = f.backendFIN || s.HasFlags(FIN)
 	if s.HasFlags(SYN) {
@@ -413,13 +425,14 @@
 	wasDown := a.isDown()
 	a.silence += min(now-a.lastTick, maxSilencePerTick)
 	a.lastTick = now
+	a.meter.advance(now)
 	for id, f := range a.flows {
 		age := now - f.lastSeen
 		if f.isRunning && f.requestEnd == 0 && age > openingTime {
 			a.setRunning(f, false)
 		}
 		if age > a.idleTimeout || f.backendFIN && f.callerFIN && age > closedFlowTTL {
-			a.removeFlow(id)
+			a.removeFlow(now, id)
 		}
 	}
 	maps.DeleteFunc(a.probes, func(_ flow.ID, p receivedProbe) bool { return now-p.at > searchTTL })
--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -57,6 +57,10 @@
 type loadTracker struct {
 	mu       sync.Mutex
 	byMember map[memberKey]*memberLoad
+	// measured holds the services whose members are placed on by service time, and
+	// middles the middle service time of each.
+	measured map[view.ServiceID]bool
+	middles  map[view.ServiceID]middleTime
 }
 
 type memberKey struct {
@@ -73,7 +77,9 @@
 	isUnresponsive bool
 }
 
-func newLoadTracker() *loadTracker { return &loadTracker{byMember: make(map[memberKey]*memberLoad)} }
+func newLoadTracker() *loadTracker {
+	return &loadTracker{byMember: make(map[memberKey]*memberLoad), middles: make(map[view.ServiceID]middleTime)}
+}
 
 func (l *loadTracker) loadOf(m *member) *memberLoad {
 	key := memberKey{m.service, m.peer.Seed}
@@ -174,7 +180,7 @@
 		if ml.suspectedUntil > now {
 			continue
 		}
-		load := ml.cost(now, m)
+		load := l.cost(now, m, ml)
 		if m.zone != zone {
 			load += crossZonePenalty
 		}
@@ -237,10 +243,3 @@
 	ml.placedAt = ml.placedAt[len(ml.placedAt)-recent:]
 	return recent
 }
-
-// cost returns the load per slot at full weight, in thousandths of a running request.
-func (ml *memberLoad) cost(now time.Duration, m *member) uint64 {
-	report := ml.validReport(now)
-	total := uint64(report.Flows)*flowCost + (uint64(report.RunningRequests)+uint64(ml.recentPlacements(now)))*requestCost
-	return total * view.FullWeight / (uint64(m.slots) * uint64(max(m.weight, 1)))
-}
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -74,6 +74,7 @@
 	hasChanged := r.Incarnation != previous.Incarnation || r.Draining != previous.Draining || r.Slots != previous.Slots
 	a.report, a.announcementCount = r, 0
 	a.steer.SetState(state)
+	a.steer.SetSlots(int(r.Slots))
 	a.reports.Add(1)
 	if hasChanged {
 		a.options.Log.Info("Backend server's state changed.", zap.String("id", r.ID), zap.String("service", r.Service),
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -152,6 +152,7 @@
 	if len(u.Services) > 0 || len(u.Removed) > 0 {
 		b.setServices(u)
 		table = table.WithRoutes(b.routes())
+		b.router.SetMeasuredCapacity(b.measuredServices())
 		b.options.Log.Info("Adopted a configuration.", zap.Int("addresses", table.RouteCount()))
 	}
 	for _, v := range u.Views {
@@ -185,6 +186,18 @@
 	return routes
 }
 
+// measuredServices returns the services whose new flows are placed by measured service
+// times.
+func (b *Balancer) measuredServices() map[view.ServiceID]bool {
+	measured := make(map[view.ServiceID]bool)
+	for _, s := range b.services {
+		if s.Settings.MeasuredCapacity > 0 {
+			measured[s.ID] = true
+		}
+	}
+	return measured
+}
+
 // insertByService inserts p in the order of service IDs, so that all balancers make
 // the same choice.
 func insertByService(list []routing.WeightedService, p routing.WeightedService) []routing.WeightedService {
