Judge backend servers by what they answer

Cause: a backend server that hangs or leaves requests unanswered looks idle, and gets new flows until its health check tells, if it ever does.

Change: the agent calls its backend server unfit when it answers nothing for the time of 32 requests per busy slot, or too few of its requests. Balancers in contact avoid it by load reports; a judgement that lasts a second is announced. At most max_unfit of a service is avoided; an untried one gets a flow every two seconds.

--- a/core/fleet/settings.go
+++ b/core/fleet/settings.go
@@ -43,6 +43,10 @@
 	// MeasuredCapacity is 1 if new flows are placed by the service times that agents
 	// measure, and 0 if all backend servers count as equally fast.
 	MeasuredCapacity uint32 `cbor:"20,keyasint,omitempty" json:"measured_capacity,omitempty"`
+	// MaxUnfitPercent is the maximum percentage of a service's backend servers that get
+	// no new flows at the same time because their agents see them answer no requests; 0
+	// means that agents do not judge it.
+	MaxUnfitPercent uint32 `cbor:"21,keyasint,omitempty" json:"max_unfit,omitempty"`
 }
 
 // DefaultSettings returns the settings of a new fleet.
@@ -135,6 +139,10 @@
 		key: "measured_capacity", unit: unitSwitch, minValue: 0, maxValue: 1, scopes: serviceScopeOnly,
 		number: func(s *Settings) *uint32 { return &s.MeasuredCapacity },
 	},
+	{
+		key: "max_unfit", unit: unitPercent, minValue: 0, maxValue: 100,
+		number: func(s *Settings) *uint32 { return &s.MaxUnfitPercent },
+	},
 }
 
 // SettingKeys returns all keys in a fixed order.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -44,6 +44,11 @@
 	// may be ejected at the same time. Members are ejected for expired leases,
 	// failed health and flapping; draining members do not count.
 	MaxEjectedShare float64
+	// MaxUnfitShare bounds the fraction of a service's members that may be ejected at
+	// the same time only because their agents announce that they answer no requests.
+	// Such a backend server is alive and may be judged wrongly. Zero means that
+	// MaxEjectedShare alone holds.
+	MaxUnfitShare float64
 	// FlapWindow and FlapLimit define flapping: FlapLimit expired leases and
 	// restarts within FlapWindow.
 	FlapWindow time.Duration
@@ -122,6 +127,14 @@
 	return m.flapTimes[n-1]-m.flapTimes[n-o.FlapLimit] <= o.FlapWindow
 }
 
+// isUnfitOnly reports whether the only reason to eject the member is that its agent
+// announces it as unhealthy although the backend server is up.
+func (m *member) isUnfitOnly(now time.Duration, o *Options) bool {
+	a := &m.announcement
+	isUp := m.phase != view.Gone && !a.BackendDown && !m.leaseExpired(now, o) && !m.isHeldDown(now, o)
+	return isUp && a.BackendTracksFlows && !a.Healthy
+}
+
 // leaseExpired reports whether the member's lease has expired.
 func (m *member) leaseExpired(now time.Duration, o *Options) bool {
 	return now-m.announcedAt > o.LeaseDuration
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -65,6 +65,15 @@
 	return f.registry.Announce(f.now, 1, *a)
 }
 
+// markUnfit makes agents announce backend servers that are up as unhealthy, and allows a
+// quarter of them to be ejected for it.
+func markUnfit(f *testFleet, hosts ...int) {
+	f.registry.SetOptions(Options{MaxEjectedShare: 1, MaxUnfitShare: 0.25})
+	for _, i := range hosts {
+		f.agents[i].Healthy, f.agents[i].BackendTracksFlows = false, true
+	}
+}
+
 func (f *testFleet) restart(i int) {
 	f.agents[i].Incarnation++
 	f.agents[i].Sequence, f.agents[i].AdoptedVersion = 0, view.Version{}
@@ -184,6 +193,12 @@
 			}
 		}, 6 * second, "ready:0/ready:100/ready:100/ready:0"},
 		{"one is reported unhealthy", 4, func(f *testFleet) { f.agents[1].Healthy = false }, 6 * second, "ready:100/ready:0/ready:100/ready:100"},
+		{"all are judged unfit", 4, func(f *testFleet) { markUnfit(f, 0, 1, 2, 3) }, 6 * second, "ready:0/ready:100/ready:100/ready:100"},
+		{"the only member is judged unfit", 1, func(f *testFleet) { markUnfit(f, 0) }, 6 * second, "ready:100"},
+		{"one is judged unfit and two are unresponsive", 4, func(f *testFleet) {
+			markUnfit(f, 0, 1)
+			markUnresponsive(f, 2, 3)
+		}, 6 * second, "ready:0/ready:100/gone:0/gone:0"},
 		{"a drained member is unresponsive", 2, func(f *testFleet) { f.registry.SetDrained([]string{"host-0"}); markUnresponsive(f, 0) }, 6 * second, "gone:0/ready:100"},
 		{"all are drained", 2, func(f *testFleet) { f.registry.SetDrained([]string{"host-0", "host-1"}) }, 6 * second, "draining:0/draining:0"},
 		{"a weight is set", 2, func(f *testFleet) { f.registry.SetWeightFunc(weightFuncOfHost1(40)) }, second, "ready:100/ready:40"},
--- a/core/lease/publish.go
+++ b/core/lease/publish.go
@@ -79,7 +79,8 @@
 }
 
 // ejectedMembers returns the members that get no new flows because of an expired
-// lease, failed health or flapping, at most Options.MaxEjectedShare of all: those
+// lease, failed health or flapping, at most Options.MaxEjectedShare of all, and at most
+// Options.MaxUnfitShare that are up and only judged as unfit: those
 // without new flows already come first, then those with an expired lease, each
 // ordered by their latest announcement, oldest first. It moves ejected members with
 // an expired lease to phase gone.
@@ -104,12 +105,17 @@
 		return cmp.Compare(a.announcedAt, b.announcedAt)
 	})
 	allowed := int(r.options.MaxEjectedShare * float64(total))
+	allowedUnfit := r.maxUnfit(total)
 	out := make(map[string]bool, len(candidates))
 	for i, m := range candidates {
-		if i >= allowed && m.phase != view.Gone {
+		isUnfit := m.isUnfitOnly(now, &r.options)
+		if i >= allowed && m.phase != view.Gone || isUnfit && allowedUnfit == 0 {
 			r.stats.SkippedEjections++
 			continue
 		}
+		if isUnfit {
+			allowedUnfit--
+		}
 		out[m.id] = true
 		if m.phase != view.Gone && m.leaseExpired(now, &r.options) {
 			r.expireLease(now, m)
@@ -121,6 +127,14 @@
 	return out
 }
 
+// maxUnfit returns how many of total members may be ejected only as unfit.
+func (r *Registry) maxUnfit(total int) int {
+	if r.options.MaxUnfitShare == 0 {
+		return total
+	}
+	return int(r.options.MaxUnfitShare * float64(total))
+}
+
 // ejectionPriority ranks the candidates for ejection: 2 for a member that gets no
 // new flows already, 1 for one whose lease has expired, else 0.
 func (r *Registry) ejectionPriority(now time.Duration, m *member) int {
--- a/core/routing/agent.go
+++ b/core/routing/agent.go
@@ -88,9 +88,10 @@
 	requestEnd uint32
 	backendFIN bool
 	callerFIN  bool
-	// hasRequest is set while a request has no response; it began at requestStart.
-	hasRequest   bool
-	requestStart time.Duration
+	// hasRequest is set while a request has no response. It began at requestStart by the
+	// meter's clock. isOverdue is set once it has waited too long.
+	hasRequest, isOverdue bool
+	requestStart          time.Duration
 }
 
 const (
@@ -139,7 +140,8 @@
 	deliveries      [maxDeliveries]delivery
 	lastToken       uint32
 	// meter measures how long requests occupy the slots of the backend server.
-	meter slotMeter
+	meter   slotMeter
+	fitness fitness
 }
 
 // receivedProbe is a balancer's probe for a flow.
@@ -165,7 +167,7 @@
 // NewAgent returns an Agent started at now.
 func NewAgent(now time.Duration, o AgentOptions) *Agent {
 	return &Agent{
-		silenceTimeout: o.SilenceTimeout, idleTimeout: o.IdleTimeout, startedAt: now, lastTick: now, isConfigMissing: true,
+		fitness: newFitness(), silenceTimeout: o.SilenceTimeout, idleTimeout: o.IdleTimeout, startedAt: now, lastTick: now, isConfigMissing: true,
 		flows: make(map[flow.ID]*backendFlow), probes: make(map[flow.ID]receivedProbe), routedAddrs: make(map[netip.AddrPort]bool),
 	}
 }
@@ -202,6 +204,7 @@
 	clear(a.probes)
 	a.runningRequests = 0
 	a.meter.reset()
+	a.fitness.reset()
 	a.hasAllFlows = !mayHaveFlows
 	a.hasReceivedSYN = mayHaveFlows
 }
@@ -233,6 +236,7 @@
 	defer a.mu.Unlock()
 	return Load{
 		Flows: uint32(len(a.flows)), RunningRequests: a.runningRequests, ServiceTime: toMicroseconds(a.meter.serviceTime()),
+		IsUnfit: a.isUnfit(),
 	}
 }
 
@@ -398,6 +402,7 @@
 	a.silence = 0
 	id := s.Tuple.ID()
 	if s.HasFlags(RST) {
+		a.recordReset(a.flows[id])
 		a.removeFlow(now, id)
 		return netip.AddrPort{}
 	}
@@ -428,6 +433,7 @@
 	a.meter.advance(now)
 	for id, f := range a.flows {
 		age := now - f.lastSeen
+		a.recordOverdue(f)
 		if f.isRunning && f.requestEnd == 0 && age > openingTime {
 			a.setRunning(f, false)
 		}
@@ -435,6 +441,7 @@
 			a.removeFlow(now, id)
 		}
 	}
+	a.fitness.judge(&a.meter)
 	maps.DeleteFunc(a.probes, func(_ flow.ID, p receivedProbe) bool { return now-p.at > searchTTL })
 	return a.isDown() && !wasDown
 }
--- a/core/routing/cost.go
+++ b/core/routing/cost.go
@@ -28,18 +28,11 @@
 	computedAt time.Duration
 }
 
-// setMeasured sets the services whose members are placed on by their service times.
-func (l *loadTracker) setMeasured(services map[view.ServiceID]bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.measured = services
-}
-
 // paceOf returns how long a request occupies a slot of the member in thousandths of the
 // middle of its service. It is fullPace while the member's service time is unknown or
 // near the middle, so that members of equal speed are placed on as if none was measured.
 func (l *loadTracker) paceOf(now time.Duration, m *member, ml *memberLoad) uint64 {
-	if !l.measured[m.service] || ml.report.ServiceTime == 0 {
+	if !l.rules[m.service].MeasuredCapacity || ml.report.ServiceTime == 0 {
 		return fullPace
 	}
 	middle := l.middleOf(now, m.service)
@@ -80,10 +73,3 @@
 	perSlot := total * view.FullWeight / (uint64(m.slots) * uint64(max(m.weight, 1)))
 	return perSlot * l.paceOf(now, m, ml) / fullPace
 }
-
-// SetMeasuredCapacity sets the services whose backend servers get new flows by the
-// service times that their agents report. Backend servers of others count as equally
-// fast.
-func (b *Balancer) SetMeasuredCapacity(services map[view.ServiceID]bool) {
-	b.loads.setMeasured(services)
-}
--- a/core/routing/cost_test.go
+++ b/core/routing/cost_test.go
@@ -50,7 +50,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			b := newBalancer(servers(1, 4)...)
-			b.SetMeasuredCapacity(map[view.ServiceID]bool{testService: tt.isMeasured})
+			b.SetPlacementRules(map[view.ServiceID]PlacementRules{testService: {MeasuredCapacity: tt.isMeasured}})
 			got := placements(b, 400, tt.serviceTime)[slowSeed]
 			t.Log("flows on the first member", got)
 			is.True(got >= tt.min && got <= tt.max)
@@ -62,7 +62,7 @@
 func TestSingleMemberGetsAllFlows(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer(server(1))
-	b.SetMeasuredCapacity(map[view.ServiceID]bool{testService: true})
+	b.SetPlacementRules(map[view.ServiceID]PlacementRules{testService: {MeasuredCapacity: true}})
 	got := placements(b, 50, func(int) uint32 { return 4_000_000 })
 	is.Equal(got[view.SeedOf(server(1).ID)], uint32(50))
 }
--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -57,10 +57,9 @@
 type loadTracker struct {
 	mu       sync.Mutex
 	byMember map[memberKey]*memberLoad
-	// measured holds the services whose members are placed on by service time, and
-	// middles the middle service time of each.
-	measured map[view.ServiceID]bool
-	middles  map[view.ServiceID]middleTime
+	rules    map[view.ServiceID]PlacementRules
+	// middles holds the middle service time of each service.
+	middles map[view.ServiceID]middleTime
 }
 
 type memberKey struct {
@@ -73,6 +72,8 @@
 	reportedAt     time.Duration
 	placedAt       []time.Duration // of the flows not yet confirmed
 	suspectedUntil time.Duration
+	// triedAt is when the member was last tried while it was unfit.
+	triedAt time.Duration
 	// isUnresponsive is set if the member has left a probe unanswered.
 	isUnresponsive bool
 }
@@ -164,8 +165,8 @@
 	}
 }
 
-// selectLeastLoaded returns the candidate with the least load that is not suspect, and
-// records the placement of a flow on it. If all are suspect it returns the first. All
+// selectLeastLoaded returns the candidate with the least load that is not avoided, and
+// records the placement of a flow on it. If all are avoided it returns the first. All
 // candidates must accept new flows. crossZonePenalty makes it prefer members in zone.
 func (l *loadTracker) selectLeastLoaded(now time.Duration, candidates []*member, zone string) *member {
 	l.mu.Lock()
@@ -177,7 +178,7 @@
 			fallback = m
 		}
 		ml := l.loadOf(m)
-		if ml.suspectedUntil > now {
+		if l.avoids(now, m, ml) {
 			continue
 		}
 		load := l.cost(now, m, ml)
--- a/core/routing/servicetime.go
+++ b/core/routing/servicetime.go
@@ -19,6 +19,9 @@
 	changeFactor = 1.75
 	// reportStep is the relative change of the service time that is reported.
 	reportStep = 1.125
+	// rejectionDivisor is the part of the service time within which a response that
+	// overtakes waiting requests is a rejection for certain.
+	rejectionDivisor = 4
 	// settlingAnswers is the number of answers after a change in which the lasting mean
 	// follows the recent one, as that still holds some requests from before.
 	settlingAnswers = 2 * recentRequests
@@ -34,7 +37,9 @@
 type slotMeter struct {
 	slots     int
 	updatedAt time.Duration
-	// starts holds the times at which the running requests began, ascending.
+	// clock is the time that has passed without the pauses of this process.
+	clock time.Duration
+	// starts holds the clock's times at which the running requests began, ascending.
 	starts          []time.Duration
 	recent, lasting usage
 	// answers counts the answered requests, up to minAnswers.
@@ -43,7 +48,11 @@
 	settling int
 	// usual is the lasting mean at the latest answer; 0 while it is unknown.
 	usual time.Duration
-	// sinceAnswer is the busy time since the latest response, and stalled the time.
+	// latestServed is the latest beginning of a request that was answered, unless at
+	// once while earlier ones waited.
+	latestServed time.Duration
+	// sinceAnswer is the busy time since the latest response, and stalled the time in
+	// which requests waited since then.
 	sinceAnswer, stalled time.Duration
 	// reported is the service time as last reported.
 	reported time.Duration
@@ -67,12 +76,15 @@
 }
 
 // reset forgets what was measured, and keeps the number of slots.
-func (m *slotMeter) reset() { *m = slotMeter{slots: m.slots, updatedAt: m.updatedAt} }
+func (m *slotMeter) reset() {
+	*m = slotMeter{slots: m.slots, updatedAt: m.updatedAt, clock: m.clock}
+}
 
 // advance accounts for the time since the previous event.
 func (m *slotMeter) advance(now time.Duration) {
 	gap := min(max(now-m.updatedAt, 0), maxMeteredGap)
 	m.updatedAt = max(m.updatedAt, now)
+	m.clock += gap
 	if len(m.starts) == 0 {
 		return
 	}
@@ -83,27 +95,26 @@
 	m.stalled += gap
 }
 
-// begin records a request.
-func (m *slotMeter) begin(now time.Duration) {
-	m.advance(now)
-	if len(m.starts) == 0 {
-		m.sinceAnswer, m.stalled = 0, 0
-	}
-	m.starts = append(m.starts, now)
-}
-
-// abort records that the request that began at start no longer waits for a response.
-func (m *slotMeter) abort(now, start time.Duration) {
+// begin records a request and returns the time of its beginning by the clock.
+func (m *slotMeter) begin(now time.Duration) time.Duration {
 	m.advance(now)
-	m.remove(start)
+	m.starts = append(m.starts, m.clock)
+	return m.clock
 }
 
-// answer records the response to the request that began at start.
-func (m *slotMeter) answer(now, start time.Duration) {
+// end records the end of the request that began at start, with a response or without.
+func (m *slotMeter) end(now, start time.Duration, answered bool) {
 	m.advance(now)
 	earlier := m.remove(start)
+	if !answered {
+		return
+	}
 	m.sinceAnswer, m.stalled = 0, 0
-	if earlier >= max(m.slots, 1) {
+	isOvertaking := earlier >= max(m.slots, 1)
+	if !isOvertaking || m.clock-start >= m.usualTime()/rejectionDivisor {
+		m.latestServed = max(m.latestServed, start)
+	}
+	if isOvertaking {
 		return // rejected: the slots hold earlier requests
 	}
 	m.recent.record(recentRequests)
@@ -171,8 +182,8 @@
 	if f.hasRequest {
 		return
 	}
-	f.hasRequest, f.requestStart = true, now
-	a.meter.begin(now)
+	f.hasRequest, f.isOverdue = true, false
+	f.requestStart = a.meter.begin(now)
 }
 
 // endRequest records the end of a flow's request, if it has one: with the first segment
@@ -182,9 +193,8 @@
 		return
 	}
 	f.hasRequest = false
+	a.meter.end(now, f.requestStart, answered)
 	if answered {
-		a.meter.answer(now, f.requestStart)
-		return
+		a.fitness.recordAnswer(a.meter.clock)
 	}
-	a.meter.abort(now, f.requestStart)
 }
--- a/core/routing/servicetime_test.go
+++ b/core/routing/servicetime_test.go
@@ -22,6 +22,10 @@
 	sent       int
 	busyUntil  []time.Duration
 	endings    []ending
+	// unanswered is the service time from which a request gets no answer and keeps no
+	// slot: its caller gives up after two seconds. 0 means that all are answered.
+	unanswered time.Duration
+	abandoned  []ending
 }
 
 // ending is the end of a flow's request.
@@ -46,6 +50,7 @@
 		at := s.now + time.Duration(s.random.ExpFloat64()/rate*float64(time.Second))
 		for ; nextTick < min(at, end); nextTick += 100 * time.Millisecond {
 			s.answerUntil(nextTick)
+			s.abandonUntil(nextTick)
 			s.agent.Tick(nextTick)
 		}
 		s.now = min(at, end)
@@ -65,8 +70,13 @@
 		s.answer(ending{at + 200*time.Microsecond, s.sent}) // rejected at once
 		return
 	}
+	service := s.serviceFor(at)
+	if s.unanswered > 0 && service >= s.unanswered {
+		s.abandoned = append(s.abandoned, ending{at + 2*time.Second, s.sent})
+		return
+	}
 	slot := slices.Index(s.busyUntil, slices.Min(s.busyUntil))
-	took := time.Duration(s.random.ExpFloat64() * float64(s.serviceFor(at)))
+	took := time.Duration(s.random.ExpFloat64() * float64(service))
 	s.busyUntil[slot] = max(s.busyUntil[slot], at) + took
 	s.endings = append(s.endings, ending{s.busyUntil[slot], s.sent})
 }
@@ -79,6 +89,15 @@
 	}
 }
 
+// abandonUntil ends the flows whose callers have given up.
+func (s *meteredServer) abandonUntil(now time.Duration) {
+	for len(s.abandoned) > 0 && s.abandoned[0].at <= now {
+		e := s.abandoned[0]
+		s.agent.Receive(e.at, meteredSegment(e.flow, RST, 0), forwardInfo(5))
+		s.abandoned = s.abandoned[1:]
+	}
+}
+
 func (s *meteredServer) answer(e ending) {
 	s.agent.ObserveReply(e.at, meteredSegment(e.flow, ACK, 500))
 	s.agent.Receive(e.at, meteredSegment(e.flow, FIN|ACK, 0), forwardInfo(5))
--- a/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -54,6 +54,7 @@
 		CollectionPeriod: o.Collect,
 		WarmUpDuration:   s.WarmupDuration,
 		MaxEjectedShare:  float64(s.MaxEjectedPercent) / 100,
+		MaxUnfitShare:    float64(s.MaxUnfitPercent) / 100,
 	}
 }
 
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -71,6 +71,7 @@
 	// isAnnounced is set once control has accepted an announcement of the backend
 	// server's incarnation.
 	isAnnounced bool
+	fitness     fitnessLog
 	// hasLeft is set once the backend server's incarnation has deregistered.
 	hasLeft bool
 	// unsubscribe cancels the subscription to the service's configuration.
@@ -132,6 +133,7 @@
 			}
 		}
 		a.setService(s.ID, s.Version, addrs)
+		a.steer.SetJudged(s.Settings.MaxUnfitPercent > 0)
 	}
 	for _, name := range u.Removed {
 		a.options.Log.Warn("The service was removed from the configuration.", zap.String("service", name))
@@ -290,6 +292,7 @@
 		a.options.Log.Warn("Backend server is down: unresponsive or deregistered.", zap.Stringer("standing", a.steer.State()))
 		a.requestAnnouncement()
 	}
+	a.watchFitness(now)
 	n := a.newNotification(false)
 	if n.Service == 0 {
 		return
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -166,7 +166,7 @@
 	return view.Announcement{
 		Service: a.report.Service, ID: a.report.ID, Zone: a.options.Zone,
 		Incarnation: view.Incarnation(a.report.Incarnation), Packets: a.conn.Addr(), Requests: a.conn.Addr(),
-		Slots: a.report.Slots, Draining: a.report.Draining || isDown, Healthy: !isDown,
+		Slots: a.report.Slots, Draining: a.report.Draining || isDown, Healthy: !isDown && !a.fitness.isAnnouncedUnfit,
 		Sequence: a.report.Sequence<<announcementBits + a.announcementCount, Load: load.RunningRequests, Flows: load.Flows, BackendTracksFlows: true, BackendDown: isDown,
 		Unlisted: !a.isAnnounced && a.steer.IsUnused(),
 	}, true
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -152,7 +152,7 @@
 	if len(u.Services) > 0 || len(u.Removed) > 0 {
 		b.setServices(u)
 		table = table.WithRoutes(b.routes())
-		b.router.SetMeasuredCapacity(b.measuredServices())
+		b.router.SetPlacementRules(b.placementRules())
 		b.options.Log.Info("Adopted a configuration.", zap.Int("addresses", table.RouteCount()))
 	}
 	for _, v := range u.Views {
@@ -186,16 +186,15 @@
 	return routes
 }
 
-// measuredServices returns the services whose new flows are placed by measured service
-// times.
-func (b *Balancer) measuredServices() map[view.ServiceID]bool {
-	measured := make(map[view.ServiceID]bool)
+// placementRules returns the rules for new flows by service.
+func (b *Balancer) placementRules() map[view.ServiceID]routing.PlacementRules {
+	rules := make(map[view.ServiceID]routing.PlacementRules, len(b.services))
 	for _, s := range b.services {
-		if s.Settings.MeasuredCapacity > 0 {
-			measured[s.ID] = true
+		rules[s.ID] = routing.PlacementRules{
+			MeasuredCapacity: s.Settings.MeasuredCapacity > 0, MaxUnfitPercent: s.Settings.MaxUnfitPercent,
 		}
 	}
-	return measured
+	return rules
 }
 
 // insertByService inserts p in the order of service IDs, so that all balancers make
--- a/internal/segment/dump.go
+++ b/internal/segment/dump.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"fulmarmount.org/core/routing"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/fulmarmount/internal/proto"
 )
@@ -44,7 +45,9 @@
 	Service     view.ServiceID `json:"service"`
 	State       string         `json:"standing"`
 	BackendDown bool           `json:"ended"`
-	Counters    any            `json:"counters"`
+	// Judgement is what the agent thinks of its backend server, and why.
+	Judgement routing.Judgement `json:"judgement"`
+	Counters  any               `json:"counters"`
 }
 
 // Dump returns the state of the role.
@@ -52,6 +55,7 @@
 	a.mu.Lock()
 	d := AgentDump{Report: a.report, Service: a.service}
 	a.mu.Unlock()
+	d.Judgement = a.steer.Judgement()
 	d.State, d.BackendDown, d.Counters = a.steer.State().String(), a.steer.IsDown(), a.Counters()
 	return d
 }
