--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -57,9 +57,10 @@
 type loadTracker struct {
 	mu       sync.Mutex
 	byMember map[memberKey]*memberLoad
+	zone     string // of this balancer
 	rules    map[view.ServiceID]PlacementRules
-	// middles holds the middle service time of each service.
-	middles map[view.ServiceID]middleTime
+	// summaries holds a summary of the reports of each service.
+	summaries map[view.ServiceID]loadSummary
 }
 
 type memberKey struct {
@@ -70,6 +71,8 @@
 type memberLoad struct {
 	report         Load
 	reportedAt     time.Duration
+	isOwnZone      bool
+	slots          uint16
 	placedAt       []time.Duration // of the flows not yet confirmed
 	suspectedUntil time.Duration
 	// triedAt is when the member was last tried while it was unfit.
@@ -78,8 +81,8 @@
 	isUnresponsive bool
 }
 
-func newLoadTracker() *loadTracker {
-	return &loadTracker{byMember: make(map[memberKey]*memberLoad), middles: make(map[view.ServiceID]middleTime)}
+func newLoadTracker(zone string) *loadTracker {
+	return &loadTracker{byMember: make(map[memberKey]*memberLoad), zone: zone, summaries: make(map[view.ServiceID]loadSummary)}
 }
 
 func (l *loadTracker) loadOf(m *member) *memberLoad {
@@ -99,6 +102,7 @@
 	defer l.mu.Unlock()
 	ml := l.loadOf(m)
 	ml.report, ml.reportedAt, ml.suspectedUntil, ml.isUnresponsive = load, now, 0, false
+	ml.isOwnZone, ml.slots = m.zone == l.zone, m.slots
 }
 
 // suspect excludes a member from placement for suspectTime.
@@ -183,7 +187,7 @@
 		}
 		load := l.cost(now, m, ml)
 		if m.zone != zone {
-			load += crossZonePenalty
+			load += l.crossZoneCost(now, m, load)
 		}
 		if best == nil || load < least {
 			best, least = m, load
