--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -97,7 +97,7 @@
 
 // NewBalancer returns a Balancer in an availability zone, with an empty table.
 func NewBalancer(zone string) *Balancer {
-	b := &Balancer{zone: zone, owners: newOwnerCache(), loads: newLoadTracker(zone), searches: newSearchTable()}
+	b := &Balancer{zone: zone, owners: newOwnerCache(), loads: newLoadTracker(), searches: newSearchTable()}
 	b.table.Store(NewTable())
 	return b
 }
--- a/core/routing/cost.go
+++ b/core/routing/cost.go
@@ -18,25 +18,14 @@
 	minPace = 500
 	// maxPace bounds what a member loses by answering slowly.
 	maxPace = 8000
-	// summaryTTL is how long a summary of a service's reports is used.
-	summaryTTL = 250 * time.Millisecond
-	// ownZonePreference is the share of its load, in thousandths, that a member in
-	// another availability zone counts as more loaded while the own zone has room.
-	ownZonePreference = 125
-	// zoneRoomLoad and zoneFullLoad are the running requests per slot of the own zone, in
-	// thousandths, up to which it has room, and from which it counts as full.
-	zoneRoomLoad = 600
-	zoneFullLoad = 1100
+	// middleTTL is how long the middle service time of a service is used.
+	middleTTL = 500 * time.Millisecond
 )
 
-// loadSummary sums up the reports of a service's members.
-type loadSummary struct {
+// middleTime is the middle of the known service times of a service, in microseconds.
+type middleTime struct {
+	value      uint32
 	computedAt time.Duration
-	// middle is the middle of the known service times, in microseconds.
-	middle uint32
-	// ownZoneLoad is the running requests per slot of the members in the own zone, in
-	// thousandths.
-	ownZoneLoad uint64
 }
 
 // paceOf returns how long a request occupies a slot of the member in thousandths of the
@@ -46,7 +35,7 @@
 	if !l.rules[m.service].MeasuredCapacity || ml.report.ServiceTime == 0 {
 		return fullPace
 	}
-	middle := l.summaryOf(now, m.service).middle
+	middle := l.middleOf(now, m.service)
 	pace := uint64(ml.report.ServiceTime) * fullPace / uint64(max(middle, 1))
 	if pace <= maxEqualPace && pace*maxEqualPace >= fullPace*fullPace {
 		return fullPace
@@ -54,45 +43,25 @@
 	return min(max(pace, minPace), maxPace)
 }
 
-// summaryOf returns the summary of a service's reports.
-func (l *loadTracker) summaryOf(now time.Duration, service view.ServiceID) loadSummary {
-	cached, ok := l.summaries[service]
-	if ok && now-cached.computedAt < summaryTTL {
-		return cached
+// middleOf returns the middle of the known service times of a service.
+func (l *loadTracker) middleOf(now time.Duration, service view.ServiceID) uint32 {
+	cached, ok := l.middles[service]
+	if ok && now-cached.computedAt < middleTTL {
+		return cached.value
 	}
-	var serviceTimes []uint32
-	var running, slots uint64
+	var known []uint32
 	for key, ml := range l.byMember {
-		if key.service != service {
-			continue
+		if key.service == service && ml.report.ServiceTime > 0 {
+			known = append(known, ml.report.ServiceTime)
 		}
-		if ml.report.ServiceTime > 0 {
-			serviceTimes = append(serviceTimes, ml.report.ServiceTime)
-		}
-		if ml.isOwnZone && now-ml.reportedAt <= reportTTL {
-			running += uint64(ml.report.RunningRequests)
-			slots += uint64(ml.slots)
-		}
-	}
-	slices.Sort(serviceTimes)
-	summary := loadSummary{computedAt: now, ownZoneLoad: running * 1000 / max(slots, 1)}
-	if len(serviceTimes) > 0 {
-		summary.middle = serviceTimes[len(serviceTimes)/2]
 	}
-	l.summaries[service] = summary
-	return summary
-}
-
-// crossZoneCost returns what a member in another availability zone counts as more loaded
-// than the given load. It falls as the own zone fills up, so that flows leave a zone by
-// and by before it is full, and return by and by.
-func (l *loadTracker) crossZoneCost(now time.Duration, m *member, load uint64) uint64 {
-	if !l.rules[m.service].MeasuredCapacity {
-		return crossZonePenalty
+	slices.Sort(known)
+	middle := middleTime{computedAt: now}
+	if len(known) > 0 {
+		middle.value = known[len(known)/2]
 	}
-	own := l.summaryOf(now, m.service).ownZoneLoad
-	room := zoneFullLoad - min(max(own, zoneRoomLoad), zoneFullLoad)
-	return (crossZonePenalty + load*ownZonePreference/1000) * room / (zoneFullLoad - zoneRoomLoad)
+	l.middles[service] = middle
+	return middle.value
 }
 
 // cost returns the work per slot at full weight that the member has before it, in
--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -57,10 +57,9 @@
 type loadTracker struct {
 	mu       sync.Mutex
 	byMember map[memberKey]*memberLoad
-	zone     string // of this balancer
 	rules    map[view.ServiceID]PlacementRules
-	// summaries holds a summary of the reports of each service.
-	summaries map[view.ServiceID]loadSummary
+	// middles holds the middle service time of each service.
+	middles map[view.ServiceID]middleTime
 }
 
 type memberKey struct {
@@ -71,8 +70,6 @@
 type memberLoad struct {
 	report         Load
 	reportedAt     time.Duration
-	isOwnZone      bool
-	slots          uint16
 	placedAt       []time.Duration // of the flows not yet confirmed
 	suspectedUntil time.Duration
 	// triedAt is when the member was last tried while it was unfit.
@@ -81,8 +78,8 @@
 	isUnresponsive bool
 }
 
-func newLoadTracker(zone string) *loadTracker {
-	return &loadTracker{byMember: make(map[memberKey]*memberLoad), zone: zone, summaries: make(map[view.ServiceID]loadSummary)}
+func newLoadTracker() *loadTracker {
+	return &loadTracker{byMember: make(map[memberKey]*memberLoad), middles: make(map[view.ServiceID]middleTime)}
 }
 
 func (l *loadTracker) loadOf(m *member) *memberLoad {
@@ -102,7 +99,6 @@
 	defer l.mu.Unlock()
 	ml := l.loadOf(m)
 	ml.report, ml.reportedAt, ml.suspectedUntil, ml.isUnresponsive = load, now, 0, false
-	ml.isOwnZone, ml.slots = m.zone == l.zone, m.slots
 }
 
 // suspect excludes a member from placement for suspectTime.
@@ -187,7 +183,7 @@
 		}
 		load := l.cost(now, m, ml)
 		if m.zone != zone {
-			load += l.crossZoneCost(now, m, load)
+			load += crossZonePenalty
 		}
 		if best == nil || load < least {
 			best, least = m, load
