Keep a hang out of the service time, and try unfit backend servers whatever their load

Cause: found by a play without a network of two backend servers that hang for six seconds. After the hang its busy time made them look 30 times slower, so that they got no flows at the next crest, and the flow that tries an unfit one was never placed, as its load looked higher than that of others.

Change: the busy time between two responses counts up to eight service times. A trial is placed on an unfit candidate before loads are compared.

--- a/core/routing/fitness_test.go
+++ b/core/routing/fitness_test.go
@@ -131,7 +131,7 @@
 	for n := range 1000 {
 		now := 10*time.Second + time.Duration(n)*10*time.Millisecond
 		for member := range 4 {
-			b.ReportLoad(now, testService, view.SeedOf(server(member+1).ID), Load{IsUnfit: member == 0})
+			b.ReportLoad(now, testService, view.SeedOf(server(member+1).ID), Load{IsUnfit: member == 0, Flows: 50 * uint32(1-min(member, 1))})
 		}
 		if b.Steer(now, syn(n)).To.Seed == unfit {
 			tried++
--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -171,7 +171,11 @@
 func (l *loadTracker) selectLeastLoaded(now time.Duration, candidates []*member, zone string) *member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var best, fallback *member
+	best := l.takeTrial(now, candidates)
+	if best != nil {
+		candidates = nil
+	}
+	var fallback *member
 	var least uint64
 	for _, m := range candidates {
 		if fallback == nil {
--- a/core/routing/rules.go
+++ b/core/routing/rules.go
@@ -28,21 +28,25 @@
 }
 
 // avoids reports whether new flows avoid the member: while it is suspect, or unfit by
-// its agent's report and within MaxUnfitPercent. An unfit one gets a flow from time to
-// time if no request tries it. The caller holds the lock.
+// its agent's report and within MaxUnfitPercent. The caller holds the lock.
 func (l *loadTracker) avoids(now time.Duration, m *member, ml *memberLoad) bool {
-	if ml.suspectedUntil > now {
-		return true
-	}
-	report := ml.validReport(now)
-	if !report.IsUnfit || !l.mayAvoid(now, m) {
-		return false
-	}
-	if report.RunningRequests == 0 && now-ml.triedAt >= trialInterval {
+	return ml.suspectedUntil > now || ml.validReport(now).IsUnfit && l.mayAvoid(now, m)
+}
+
+// takeTrial returns a candidate that is avoided as unfit, that no request tries and that
+// this balancer has not tried for trialInterval, or nil. A flow placed on it shows
+// whether it is well again. The caller holds the lock.
+func (l *loadTracker) takeTrial(now time.Duration, candidates []*member) *member {
+	for _, m := range candidates {
+		ml := l.loadOf(m)
+		report := ml.validReport(now)
+		if !report.IsUnfit || report.RunningRequests > 0 || now-ml.triedAt < trialInterval || !l.mayAvoid(now, m) {
+			continue
+		}
 		ml.triedAt = now
-		return false
+		return m
 	}
-	return true
+	return nil
 }
 
 // mayAvoid reports whether an unfit member is among those that MaxUnfitPercent allows to
--- a/core/routing/servicetime.go
+++ b/core/routing/servicetime.go
@@ -19,6 +19,8 @@
 	changeFactor = 1.75
 	// reportStep is the relative change of the service time that is reported.
 	reportStep = 1.125
+	// maxBusyPerAnswer bounds the busy time between two responses, in service times.
+	maxBusyPerAnswer = 8
 	// rejectionDivisor is the part of the service time within which a response that
 	// overtakes waiting requests is a rejection for certain.
 	rejectionDivisor = 4
@@ -89,8 +91,6 @@
 		return
 	}
 	busy := gap * time.Duration(min(len(m.starts), max(m.slots, 1)))
-	m.recent.busy += busy
-	m.lasting.busy += busy
 	m.sinceAnswer += busy
 	m.stalled += gap
 }
@@ -109,7 +109,7 @@
 	if !answered {
 		return
 	}
-	m.sinceAnswer, m.stalled = 0, 0
+	m.recordBusy()
 	isOvertaking := earlier >= max(m.slots, 1)
 	if !isOvertaking || m.clock-start >= m.usualTime()/rejectionDivisor {
 		m.latestServed = max(m.latestServed, start)
@@ -126,6 +126,18 @@
 	}
 }
 
+// recordBusy adds the busy time since the latest response to the means. The most of a
+// hang is left out, as it does not tell how fast the backend server is when it serves.
+func (m *slotMeter) recordBusy() {
+	busy := m.sinceAnswer
+	if m.usual > 0 {
+		busy = min(busy, maxBusyPerAnswer*m.usual)
+	}
+	m.recent.busy += busy
+	m.lasting.busy += busy
+	m.sinceAnswer, m.stalled = 0, 0
+}
+
 // remove removes the request that began at start and returns how many earlier ones run.
 func (m *slotMeter) remove(start time.Duration) int {
 	i, found := slices.BinarySearch(m.starts, start)
--- a/core/routing/servicetime_test.go
+++ b/core/routing/servicetime_test.go
@@ -197,6 +197,26 @@
 	is.True(isWithin(s.estimate(), before, 0.5))
 }
 
+// A backend server that answers again after a hang is as fast as before. If the hang made
+// it look slow it would get too few flows to show otherwise.
+func TestHangIsNotServiceTime(t *testing.T) {
+	is := is.New(t)
+	s := newMeteredServer(1, 4, func(now time.Duration) time.Duration {
+		if now < 10*time.Second || now >= 16*time.Second {
+			return 40 * time.Millisecond
+		}
+		return time.Hour
+	})
+	s.unanswered = time.Hour
+	s.run(10*time.Second, 50)
+	before := s.estimate()
+	s.run(6*time.Second, 50)
+	is.Equal(s.estimate(), before)
+	s.run(500*time.Millisecond, 50) // requests of the hang still wait for their callers to give up
+	t.Log("estimate", s.estimate())
+	is.True(isWithin(s.estimate(), before, 0.8))
+}
+
 func TestServiceTimeIsReportedInSteps(t *testing.T) {
 	is := is.New(t)
 	s := newMeteredServer(1, 4, constant(40*time.Millisecond))
