--- a/core/routing/cost_test.go
+++ b/core/routing/cost_test.go
@@ -66,3 +66,20 @@
 	got := placements(b, 50, func(int) uint32 { return 4_000_000 })
 	is.Equal(got[view.SeedOf(server(1).ID)], uint32(50))
 }
+
+func TestMemberGaugesTellHowFlowsArePlaced(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 4)...)
+	b.SetPlacementRules(map[view.ServiceID]PlacementRules{testService: {MeasuredCapacity: true, MaxUnfitPercent: 25}})
+	is.Equal(len(b.MemberGauges(testNow)), 0) // none has reported
+	for n, load := range []Load{{ServiceTime: 80_000}, {ServiceTime: 40_000, IsUnfit: true}, {ServiceTime: 40_000}, {ServiceTime: 40_000}} {
+		b.ReportLoad(testNow, testService, view.SeedOf(server(n+1).ID), load)
+	}
+	gauges := b.MemberGauges(testNow + time.Second)
+	is.Equal(len(gauges), 4)
+	is.Equal(gauges[0].ID, server(1).ID)
+	is.Equal(gauges[0].Age, time.Second)
+	is.Equal(gauges[0].Pace, uint64(2*fullPace))
+	is.True(gauges[1].IsAvoided)
+	is.Equal(gauges[2].Pace, uint64(fullPace))
+}
--- a/internal/segment/dump.go
+++ b/internal/segment/dump.go
@@ -15,6 +15,8 @@
 	Ready        bool                     `json:"ready"`
 	Services     map[string]proto.Service `json:"services"`
 	Counters     any                      `json:"counters"`
+	// Members are the backend servers that have reported their load.
+	Members []routing.MemberGauge `json:"members"`
 }
 
 // Dump returns the state of the role.
@@ -27,6 +29,7 @@
 	}
 	return BalancerDump{
 		CallerAddr: b.callers.Addr(), EnvelopeAddr: b.conn.Addr(), Ready: b.Ready(), Services: services, Counters: b.Counters(),
+		Members: b.router.MemberGauges(b.elapsed()),
 	}
 }
 
@@ -62,11 +65,12 @@
 
 // Counters returns the counts of the role.
 func (a *Agent) Counters() any {
-	load := a.steer.Load()
+	load, judgement := a.steer.Load(), a.steer.Judgement()
 	return AgentCounters{
 		Delivered: a.delivered.Load(), Replied: a.replied.Load(), Returned: a.returned.Load(), Bounced: a.bounced.Load(),
 		Reports: a.reports.Load(), Failed: a.counters.socketErrors.Load(),
 		Refused: a.counters.rejectedEnvelopes.Load(), Garbled: a.counters.malformedPackets.Load(),
 		Flows: load.Flows, RunningRequests: load.RunningRequests, ResponseLatency: a.responseLatency.Summary(),
+		ServiceTime: load.ServiceTime, Unfitness: uint8(judgement.Unfitness),
 	}
 }
--- a/internal/segment/metrics.go
+++ b/internal/segment/metrics.go
@@ -67,4 +67,9 @@
 	// ResponseLatency is the time from the last segment of a request to the first
 	// segment of its response.
 	ResponseLatency histogram.Summary `json:"answering"`
+	// ServiceTime is the estimated time in microseconds that a request occupies a slot;
+	// 0 while it is unknown.
+	ServiceTime uint32 `json:"service_time"`
+	// Unfitness is the agent's judgement: 0 fit, 1 hung, 2 failing.
+	Unfitness uint8 `json:"unfitness"`
 }
