--- a/core/routing/fitness.go
+++ b/core/routing/fitness.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// minStall is the shortest time without any response that counts as a hang.
+	// minStall is the shortest time without any response that counts as a hang while
+	// several requests wait. A single one may take long by itself, see minOverdue.
 	minStall = 400 * time.Millisecond
 	// stalledRequests is the number of requests that the slots could have answered in
 	// the time since the latest response from which the backend server counts as hung.
@@ -118,7 +119,11 @@
 // isStalled reports whether the backend server has answered nothing for much longer than
 // its slots usually take for a request each.
 func (f *fitness) isStalled(m *slotMeter) bool {
-	return len(m.starts) > 0 && m.stalled >= minStall && m.sinceAnswer >= stalledRequests*m.usualTime()
+	shortest := minStall
+	if len(m.starts) == 1 {
+		shortest = minOverdue
+	}
+	return len(m.starts) > 0 && m.stalled >= shortest && m.sinceAnswer >= stalledRequests*m.usualTime()
 }
 
 // usualTime returns the service time before the present silence.
