--- a/core/fleet/settings.go
+++ b/core/fleet/settings.go
@@ -43,6 +43,13 @@
 	// WarmupFlowLimit is the number of new flows that a cold backend server takes in any
 	// second; 0 for no limit. Where it is set, it takes the place of the ramp of weights.
 	WarmupFlowLimit uint32 `cbor:"10,keyasint,omitempty" json:"warmup_flow_limit"`
+	// MeasuredCapacity is 1 if new flows are placed by the service times that agents
+	// measure, and 0 if all backend servers count as equally fast.
+	MeasuredCapacity uint32 `cbor:"11,keyasint,omitempty" json:"measured_capacity,omitempty"`
+	// MaxUnfitPercent is the maximum percentage of a service's backend servers that get
+	// no new flows at the same time because their agents see them answer no requests; 0
+	// means that agents do not judge it.
+	MaxUnfitPercent uint32 `cbor:"12,keyasint,omitempty" json:"max_unfit,omitempty"`
 }
 
 // DefaultSettings returns the settings of a new fleet.
@@ -67,8 +74,12 @@
 	unitDuration unit = iota
 	unitCount
 	unitPercent
+	unitSwitch
 )
 
+// switchTexts are the texts of the values 0 and 1 of a switch.
+var switchTexts = [...]string{"off", "on"}
+
 // settingSpec describes one key of Settings. minValue and maxValue are in the unit of
 // the field: nanoseconds, a count or percent.
 type settingSpec struct {
@@ -131,6 +142,14 @@
 		key: "warmup_flow_limit", unit: unitCount, minValue: 0, maxValue: 10_000, scopes: serviceScopeOnly,
 		number: func(s *Settings) *uint32 { return &s.WarmupFlowLimit },
 	},
+	{
+		key: "measured_capacity", unit: unitSwitch, minValue: 0, maxValue: 1, scopes: serviceScopeOnly,
+		number: func(s *Settings) *uint32 { return &s.MeasuredCapacity },
+	},
+	{
+		key: "max_unfit", unit: unitPercent, minValue: 0, maxValue: 100,
+		number: func(s *Settings) *uint32 { return &s.MaxUnfitPercent },
+	},
 }
 
 // SettingKeys returns all keys in a fixed order.
@@ -151,7 +170,7 @@
 }
 
 // Set parses value and sets key to it. Durations are written as 250ms, 30s or
-// 24h, percentages as 10%. If it returns an error, s is unchanged.
+// 24h, percentages as 10%, switches as on or off. If it returns an error, s is unchanged.
 func (s *Settings) Set(key SettingKey, value string) error {
 	spec := findSetting(key)
 	if spec == nil {
@@ -196,6 +215,12 @@
 		if err != nil || !ok {
 			return 0, ErrInvalidValue.New("%q is not a whole percentage such as 10%%", value)
 		}
+	case unitSwitch:
+		i := slices.Index(switchTexts[:], value)
+		if i < 0 {
+			return 0, ErrInvalidValue.New("%q is neither on nor off", value)
+		}
+		n = int64(i)
 	}
 	return n, spec.check(n)
 }
@@ -213,6 +238,8 @@
 		return time.Duration(n).String()
 	case unitPercent:
 		return fmt.Sprintf("%d%%", n)
+	case unitSwitch:
+		return switchTexts[min(max(n, 0), 1)]
 	default:
 		return strconv.FormatInt(n, 10)
 	}
--- a/core/routing/agent.go
+++ b/core/routing/agent.go
@@ -92,6 +92,10 @@
 	openSeq    uint32 // sequence number of the latest SYN delivered
 	backendFIN bool
 	callerFIN  bool
+	// hasRequest is set while a request has no response. It began at requestStart by the
+	// meter's clock. isOverdue is set once it has waited too long.
+	hasRequest, isOverdue bool
+	requestStart          time.Duration
 }
 
 const (
@@ -141,6 +145,9 @@
 	runningRequests uint32
 	deliveries      [maxDeliveries]delivery
 	lastToken       uint32
+	// meter measures how long requests occupy the slots of the backend server.
+	meter   slotMeter
+	fitness fitness
 }
 
 // receivedProbe is a balancer's probe for a flow.
@@ -166,7 +173,7 @@
 // NewAgent returns an Agent started at now.
 func NewAgent(now time.Duration, o AgentOptions) *Agent {
 	return &Agent{
-		silenceTimeout: o.SilenceTimeout, idleTimeout: o.IdleTimeout, startedAt: now, lastTick: now, isConfigMissing: true,
+		fitness: newFitness(), silenceTimeout: o.SilenceTimeout, idleTimeout: o.IdleTimeout, startedAt: now, lastTick: now, isConfigMissing: true,
 		flows: make(map[flow.ID]*backendFlow), probes: make(map[flow.ID]receivedProbe), routedAddrs: make(map[netip.AddrPort]bool),
 	}
 }
@@ -202,6 +209,8 @@
 	clear(a.flows)
 	clear(a.probes)
 	a.runningRequests = 0
+	a.meter.reset()
+	a.fitness.reset()
 	a.hasAllFlows = !mayHaveFlows
 	a.hasReceivedSYN = mayHaveFlows
 }
@@ -231,7 +240,10 @@
 func (a *Agent) Load() Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	load := Load{Flows: uint32(len(a.flows)), RunningRequests: a.runningRequests}
+	load := Load{
+		Flows: uint32(len(a.flows)), RunningRequests: a.runningRequests, ServiceTime: toMicroseconds(a.meter.serviceTime()),
+		IsUnfit: a.isUnfit(),
+	}
 	load.IsCold, load.NewFlowAllowance = a.coldAllowance()
 	return load
 }
@@ -334,8 +346,10 @@
 	switch {
 	case f.callerFIN:
 		a.setRunning(f, false) // the caller no longer waits for a response
+		a.endRequest(now, f, false)
 	case s.Length > 0 && f.advanceRequest(s):
 		a.setRunning(f, true)
+		a.beginRequest(now, f)
 	}
 }
 
@@ -379,17 +393,18 @@
 	defer a.mu.Unlock()
 	a.silence = 0
 	id := s.Tuple.ID()
-	a.removeFlow(id)
+	a.removeFlow(a.lastTick, id)
 	delete(a.probes, id)
 	d := a.deliveries[token%maxDeliveries]
 	return d.forwardInfo, token != 0 && d.token == token
 }
 
-func (a *Agent) removeFlow(id flow.ID) {
+func (a *Agent) removeFlow(now time.Duration, id flow.ID) {
 	f := a.flows[id]
 	if f == nil {
 		return
 	}
+	a.endRequest(now, f, false)
 	a.setRunning(f, false)
 	delete(a.flows, id)
 }
@@ -402,12 +417,14 @@
 	a.silence = 0
 	id := s.Tuple.ID()
 	if s.HasFlags(RST) {
-		a.removeFlow(id)
+		a.recordReset(a.flows[id])
+		a.removeFlow(now, id)
 		return netip.AddrPort{}
 	}
 	f := a.touchFlow(now, id)
 	if s.Length > 0 {
 		a.setRunning(f, false)
+		a.endRequest(now, f, true)
 	}
 	f.backendFIN = f.backendFIN || s.HasFlags(FIN)
 	if s.HasFlags(SYN) {
@@ -426,18 +443,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	wasDown := a.isDown()
-	a.coldLimit.latest = now
 	a.silence += min(now-a.lastTick, maxSilencePerTick)
 	a.lastTick, a.coldLimit.latest = now, now
+	a.meter.advance(now)
 	for id, f := range a.flows {
 		age := now - f.lastSeen
+		a.recordOverdue(f)
 		if f.isRunning && f.requestEnd == 0 && age > openingTime {
 			a.setRunning(f, false)
 		}
 		if age > a.idleTimeout || f.backendFIN && f.callerFIN && age > closedFlowTTL {
-			a.removeFlow(id)
+			a.removeFlow(now, id)
 		}
 	}
+	a.fitness.judge(&a.meter)
 	maps.DeleteFunc(a.probes, func(_ flow.ID, p receivedProbe) bool { return now-p.at > searchTTL })
 	return a.isDown() && !wasDown
 }
--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -57,6 +57,9 @@
 type loadTracker struct {
 	mu       sync.Mutex
 	byMember map[memberKey]*memberLoad
+	rules    map[view.ServiceID]PlacementRules
+	// middles holds the middle service time of each service.
+	middles map[view.ServiceID]middleTime
 }
 
 type memberKey struct {
@@ -71,11 +74,15 @@
 	suspectedUntil time.Duration
 	// placedSinceReport is the number of flows placed since the latest report.
 	placedSinceReport int
+	// triedAt is when the member was last tried while it was unfit.
+	triedAt time.Duration
 	// isUnresponsive is set if the member has left a probe unanswered.
 	isUnresponsive bool
 }
 
-func newLoadTracker() *loadTracker { return &loadTracker{byMember: make(map[memberKey]*memberLoad)} }
+func newLoadTracker() *loadTracker {
+	return &loadTracker{byMember: make(map[memberKey]*memberLoad), middles: make(map[view.ServiceID]middleTime)}
+}
 
 func (l *loadTracker) loadOf(m *member) *memberLoad {
 	key := memberKey{m.service, m.peer.Seed}
@@ -161,23 +168,27 @@
 	}
 }
 
-// selectLeastLoaded returns the candidate with the least load that is not suspect, and
-// records the placement of a flow on it. If all are suspect it returns the first. All
+// selectLeastLoaded returns the candidate with the least load that is not avoided, and
+// records the placement of a flow on it. If all are avoided it returns the first. All
 // candidates must accept new flows. crossZonePenalty makes it prefer members in zone.
 func (l *loadTracker) selectLeastLoaded(now time.Duration, candidates []*member, zone string) *member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var best, fallback *member
+	best := l.takeTrial(now, candidates)
+	if best != nil {
+		candidates = nil
+	}
+	var fallback *member
 	var least uint64
 	for _, m := range candidates {
 		if fallback == nil {
 			fallback = m
 		}
 		ml := l.loadOf(m)
-		if ml.suspectedUntil > now {
+		if l.avoids(now, m, ml) {
 			continue
 		}
-		load := ml.cost(now, m)
+		load := l.cost(now, m, ml)
 		if m.zone != zone {
 			load += crossZonePenalty
 		}
@@ -241,10 +252,3 @@
 	ml.placedAt = ml.placedAt[len(ml.placedAt)-recent:]
 	return recent
 }
-
-// cost returns the load per slot at full weight, in thousandths of a running request.
-func (ml *memberLoad) cost(now time.Duration, m *member) uint64 {
-	report := ml.validReport(now)
-	total := uint64(report.Flows)*flowCost + (uint64(report.RunningRequests)+uint64(ml.recentPlacements(now)))*requestCost
-	return total*view.FullWeight/(uint64(m.slots)*uint64(max(m.weight, 1))) + ml.queueLoad(now, m)
-}
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -75,6 +75,7 @@
 	a.report, a.announcementCount = r, 0
 	a.steer.SetState(state)
 	a.steer.SetWarmup(a.elapsed(), r.WarmupRemaining)
+	a.steer.SetSlots(int(r.Slots))
 	a.reports.Add(1)
 	if hasChanged {
 		a.options.Log.Info("Backend server's state changed.", zap.String("id", r.ID), zap.String("service", r.Service),
@@ -171,7 +172,7 @@
 	return view.Announcement{
 		Service: a.report.Service, ID: a.report.ID, Zone: a.options.Zone,
 		Incarnation: view.Incarnation(a.report.Incarnation), Packets: a.conn.Addr(), Requests: a.conn.Addr(),
-		Slots: a.report.Slots, Draining: a.report.Draining || isDown, Healthy: !isDown,
+		Slots: a.report.Slots, Draining: a.report.Draining || isDown, Healthy: !isDown && !a.fitness.isAnnouncedUnfit,
 		Sequence: a.report.Sequence<<announcementBits + a.announcementCount, Load: load.RunningRequests, Flows: load.Flows, BackendTracksFlows: true, BackendDown: isDown,
 		Unlisted: !a.isAnnounced && a.steer.IsUnused(),
 	}, true
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -152,6 +152,7 @@
 	if len(u.Services) > 0 || len(u.Removed) > 0 {
 		b.setServices(u)
 		table = table.WithRoutes(b.routes())
+		b.router.SetPlacementRules(b.placementRules())
 		b.options.Log.Info("Adopted a configuration.", zap.Int("addresses", table.RouteCount()))
 	}
 	for _, v := range u.Views {
@@ -185,6 +186,17 @@
 	return routes
 }
 
+// placementRules returns the rules for new flows by service.
+func (b *Balancer) placementRules() map[view.ServiceID]routing.PlacementRules {
+	rules := make(map[view.ServiceID]routing.PlacementRules, len(b.services))
+	for _, s := range b.services {
+		rules[s.ID] = routing.PlacementRules{
+			MeasuredCapacity: s.Settings.MeasuredCapacity > 0, MaxUnfitPercent: s.Settings.MaxUnfitPercent,
+		}
+	}
+	return rules
+}
+
 // insertByService inserts p in the order of service IDs, so that all balancers make
 // the same choice.
 func insertByService(list []routing.WeightedService, p routing.WeightedService) []routing.WeightedService {
--- a/internal/segment/dump.go
+++ b/internal/segment/dump.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"fulmarmount.org/core/routing"
 	"fulmarmount.org/core/view"
 	"fulmarmount.org/fulmarmount/internal/proto"
 )
@@ -14,6 +15,8 @@
 	Ready        bool                     `json:"ready"`
 	Services     map[string]proto.Service `json:"services"`
 	Counters     any                      `json:"counters"`
+	// Members are the backend servers that have reported their load.
+	Members []routing.MemberGauge `json:"members"`
 }
 
 // Dump returns the state of the role.
@@ -26,6 +29,7 @@
 	}
 	return BalancerDump{
 		CallerAddr: b.callers.Addr(), EnvelopeAddr: b.conn.Addr(), Ready: b.Ready(), Services: services, Counters: b.Counters(),
+		Members: b.router.MemberGauges(b.elapsed()),
 	}
 }
 
@@ -46,7 +50,9 @@
 	BackendDown bool           `json:"ended"`
 	// ZoneEvacuated is set while operators have evacuated the agent's zone.
 	ZoneEvacuated bool `json:"zone_evacuated"`
-	Counters      any  `json:"counters"`
+	// Judgement is what the agent thinks of its backend server, and why.
+	Judgement routing.Judgement `json:"judgement"`
+	Counters  any               `json:"counters"`
 }
 
 // Dump returns the state of the role.
@@ -54,6 +60,7 @@
 	a.mu.Lock()
 	d := AgentDump{Report: a.report, Service: a.service}
 	a.mu.Unlock()
+	d.Judgement = a.steer.Judgement()
 	d.State, d.BackendDown, d.Counters = a.steer.State().String(), a.steer.IsDown(), a.Counters()
 	d.ZoneEvacuated = a.steer.IsZoneEvacuated()
 	return d
@@ -61,7 +68,7 @@
 
 // Counters returns the counts of the role.
 func (a *Agent) Counters() any {
-	load := a.steer.Load()
+	load, judgement := a.steer.Load(), a.steer.Judgement()
 	return AgentCounters{
 		Delivered: a.delivered.Load(), Replied: a.replied.Load(), Returned: a.returned.Load(), Bounced: a.bounced.Load(),
 		Refusals: a.refused.counts(), ZoneEvacuated: a.steer.IsZoneEvacuated(),
@@ -69,5 +76,6 @@
 		Reports: a.reports.Load(), Failed: a.counters.socketErrors.Load(),
 		Refused: a.counters.rejectedEnvelopes.Load(), Garbled: a.counters.malformedPackets.Load(),
 		Flows: load.Flows, RunningRequests: load.RunningRequests, ResponseLatency: a.responseLatency.Summary(),
+		ServiceTime: load.ServiceTime, Unfitness: uint8(judgement.Unfitness),
 	}
 }
