Tell balancers what their listeners are for

Cause: on the packet path nothing knew a listener's timeout, objective or urgency, so no decision about a new flow could use them. Nothing decides by it yet; tests of routing only changed in how they write a route.

--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -181,7 +181,7 @@
 // an outage, when waiting callers and new ones arrive together: callers that retransmit
 // are late already and get the capacity that first SYNs leave.
 func (b *Balancer) placeFlow(now time.Duration, t *Table, s *Segment, id flow.ID, hops uint8) Decision {
-	service, ok := selectService(id.Key, t.routes[s.Tuple.Service])
+	service, ok := selectService(id.Key, t.routes[s.Tuple.Service].Services)
 	if !ok {
 		return Decision{Verdict: Reset, Reason: ReasonNoMember}
 	}
--- a/core/routing/balancer_test.go
+++ b/core/routing/balancer_test.go
@@ -41,7 +41,7 @@
 // newBalancer returns a balancer that routes address to testService with members.
 func newBalancer(members ...view.BackendServer) *Balancer {
 	b := NewBalancer("a")
-	b.SetTable(b.Table().WithRoutes(Routes{address: {{Service: testService, Weight: 1}}}).
+	b.SetTable(b.Table().WithRoutes(Routes{address: {Services: []WeightedService{{Service: testService, Weight: 1}}}}).
 		WithView(0, view.New(testService, view.Version{Epoch: 1, Number: 1}, members)))
 	b.ConfirmConfig()
 	return b
@@ -135,7 +135,7 @@
 	is := is.New(t)
 	b := newBalancer(servers(1, 2)...)
 	b.SetTable(b.Table().WithView(0, view.New(otherService, view.Version{Epoch: 1, Number: 2}, servers(5, 6))).
-		WithRoutes(Routes{address: {{Service: testService}, {Service: otherService, Weight: 1}}}))
+		WithRoutes(Routes{address: {Services: []WeightedService{{Service: testService}, {Service: otherService, Weight: 1}}}}))
 	probed, last := returnFromAll(b, data(1))
 	is.Equal(len(probed), 4)
 	is.Equal(last.Verdict, Reset)
@@ -224,7 +224,7 @@
 	t.Run("are dropped while the view is missing or partial", func(t *testing.T) {
 		is := is.New(t)
 		b := NewBalancer("a")
-		b.SetTable(b.Table().WithRoutes(Routes{address: {{Service: testService, Weight: 1}}}))
+		b.SetTable(b.Table().WithRoutes(Routes{address: {Services: []WeightedService{{Service: testService, Weight: 1}}}}))
 		b.ConfirmConfig()
 		is.Equal(b.Steer(testNow, syn(1)), Decision{Verdict: Drop, Reason: ReasonPartialView})
 		v := view.New(testService, view.Version{Epoch: 2, Number: 1}, nil)
@@ -283,11 +283,11 @@
 
 func TestServicesAreSelectedByWeight(t *testing.T) {
 	is := is.New(t)
-	routes := Routes{address: {{Service: testService, Weight: 90}, {Service: otherService, Weight: 10}}}
+	routes := Routes{address: {Services: []WeightedService{{Service: testService, Weight: 90}, {Service: otherService, Weight: 10}}}}
 	counts := make(map[view.ServiceID]int)
 	for n := range 2000 {
 		id := tuple(n).ID()
-		service, ok := selectService(id.Key, routes[address])
+		service, ok := selectService(id.Key, routes[address].Services)
 		is.True(ok)
 		counts[service]++
 	}
--- a/core/routing/possible_test.go
+++ b/core/routing/possible_test.go
@@ -220,7 +220,7 @@
 		is := is.New(t)
 		h := &viewHistory{random: rand.New(rand.NewPCG(seed, 7)), epoch: 1, states: make(map[string]view.BackendServer)}
 		placing, searching := NewBalancer("a"), NewBalancer("a")
-		routes := Routes{address: {{Service: testService, Weight: 1}}}
+		routes := Routes{address: {Services: []WeightedService{{Service: testService, Weight: 1}}}}
 		placing.SetTable(placing.Table().WithRoutes(routes))
 		searching.SetTable(searching.Table().WithRoutes(routes))
 		type placement struct {
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -19,8 +19,27 @@
 	Weight  uint32
 }
 
+// Route is what is behind one address.
+type Route struct {
+	// Services are the services behind the address, by ID.
+	Services []WeightedService
+	Listener Listener
+}
+
+// Listener is what the callers of an address need. The zero value means that nothing
+// is known of them.
+type Listener struct {
+	// Timeout is the longest time that a caller waits for a response, Objective the
+	// response time within which a response has its full value.
+	Timeout, Objective time.Duration
+	// Urgency is 0 for the most urgent requests.
+	Urgency uint8
+	// Idempotent is set if requests may be executed more than once.
+	Idempotent bool
+}
+
 // Routes maps the addresses that callers use to the services behind them.
-type Routes map[netip.AddrPort][]WeightedService
+type Routes map[netip.AddrPort]Route
 
 // member is a backend server that may own flows.
 type member struct {
@@ -162,7 +181,7 @@
 }
 
 // HasRoute reports whether an address is routed to a service.
-func (t *Table) HasRoute(addr netip.AddrPort) bool { return len(t.routes[addr]) > 0 }
+func (t *Table) HasRoute(addr netip.AddrPort) bool { return len(t.routes[addr].Services) > 0 }
 
 // RouteCount returns the number of routed addresses.
 func (t *Table) RouteCount() int { return len(t.routes) }
@@ -170,7 +189,7 @@
 // AvailableMembers returns the number of members that accept new flows for an address.
 func (t *Table) AvailableMembers(addr netip.AddrPort) int {
 	n := 0
-	for _, ws := range t.routes[addr] {
+	for _, ws := range t.routes[addr].Services {
 		if ws.Weight == 0 {
 			continue
 		}
@@ -185,7 +204,7 @@
 
 // servicesToSearch returns the services that may own a flow, the most likely first.
 func (t *Table) servicesToSearch(key uint64, addr netip.AddrPort) []view.ServiceID {
-	services := t.routes[addr]
+	services := t.routes[addr].Services
 	var out []view.ServiceID
 	if selected, ok := selectService(key, services); ok {
 		out = append(out, selected)
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -174,30 +174,6 @@
 	}
 }
 
-// routes returns the addresses of all services of mode segment.
-func (b *Balancer) routes() routing.Routes {
-	routes := make(routing.Routes)
-	for _, s := range b.services {
-		for _, in := range s.Inbound {
-			routes[in.Addr] = insertByService(routes[in.Addr], routing.WeightedService{Service: s.ID, Weight: in.Weight})
-		}
-	}
-	return routes
-}
-
-// insertByService inserts p in the order of service IDs, so that all balancers make
-// the same choice.
-func insertByService(list []routing.WeightedService, p routing.WeightedService) []routing.WeightedService {
-	i := len(list)
-	for i > 0 && list[i-1].Service > p.Service {
-		i--
-	}
-	list = append(list, routing.WeightedService{})
-	copy(list[i+1:], list[i:])
-	list[i] = p
-	return list
-}
-
 func (b *Balancer) configVersion(id view.ServiceID) view.Version {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
