Refuse, place and share new flows by what their callers need

Cause: while members were full, SYNs of all listeners were dropped alike, and only while every member of the service was full; a dropped caller came back after 200 ms, late, and took the place of one that could still be in time. Change: services with settings for contention (wait_limit, reserved_share, caller_share; all off by default) admit new flows by the estimated room at each candidate. A listener below its share is placed where a flood no longer is, one caller's address gets a bounded part while room is short, a first SYN without room is reset and tries other candidates at once, a retransmitted one that is late gets free slots only, and nobody waits who would be answered after their timeout. Refusals are counted by listener and reason and logged with what they were decided by, 20 lines a second.

--- a/core/fleet/settings.go
+++ b/core/fleet/settings.go
@@ -40,6 +40,15 @@
 	// MaxEjectedPercent is the maximum percentage of a service's backend servers that
 	// may be ejected as unhealthy at the same time.
 	MaxEjectedPercent uint32 `cbor:"9,keyasint" json:"max_ejected"`
+	// WaitLimitPercent is the part of a listener's timeout beyond which a new flow that
+	// would have to wait for its first response is refused; 0 refuses none.
+	WaitLimitPercent uint32 `cbor:"20,keyasint,omitempty" json:"wait_limit"`
+	// ReservedSharePercent is the part of a service's new flows that is reserved in equal
+	// parts for the listeners in use; 0 reserves nothing.
+	ReservedSharePercent uint32 `cbor:"21,keyasint,omitempty" json:"reserved_share"`
+	// CallerSharePercent is the largest part of a service's new flows that one caller's
+	// address gets while slots are short; 0 sets no bound.
+	CallerSharePercent uint32 `cbor:"22,keyasint,omitempty" json:"caller_share"`
 }
 
 // DefaultSettings returns the settings of a new fleet.
@@ -124,6 +133,18 @@
 		key: "max_ejected", unit: unitPercent, minValue: 1, maxValue: 100,
 		number: func(s *Settings) *uint32 { return &s.MaxEjectedPercent },
 	},
+	{
+		key: "wait_limit", unit: unitPercent, minValue: 0, maxValue: 100, scopes: serviceScopeOnly,
+		number: func(s *Settings) *uint32 { return &s.WaitLimitPercent },
+	},
+	{
+		key: "reserved_share", unit: unitPercent, minValue: 0, maxValue: 100, scopes: serviceScopeOnly,
+		number: func(s *Settings) *uint32 { return &s.ReservedSharePercent },
+	},
+	{
+		key: "caller_share", unit: unitPercent, minValue: 0, maxValue: 100, scopes: serviceScopeOnly,
+		number: func(s *Settings) *uint32 { return &s.CallerSharePercent },
+	},
 }
 
 // SettingKeys returns all keys in a fixed order.
--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -40,12 +40,15 @@
 	ReasonPartialView                     // the view may lack members that own the flow
 	ReasonOverloaded                      // no member can answer another request in time
 	ReasonPlacementLimit                  // too many members have refused the flow
+	ReasonTooLate                         // no candidate can answer the caller in time
+	ReasonFull                            // no candidate has room for a first SYN
+	ReasonCallerShare                     // the caller uses more than its share, and no slot is free
 	reasonCount             = iota
 )
 
 var reasonNames = [reasonCount]string{
 	"placed", "remembered", "searched", "no_route", "no_member", "not_held", "host_ended", "not_current",
-	"unanswered", "search_bound", "view_partial", "full", "place_bound",
+	"unanswered", "search_bound", "view_partial", "full", "place_bound", "too_late", "no_room", "caller_share",
 }
 
 // String returns the reason's name in metrics and logs.
@@ -83,6 +86,8 @@
 	// OwnerKnown is set if To is the cached owner rather than the target of a probe
 	// or of a placement. The owner may not have confirmed the flow yet.
 	OwnerKnown bool
+	// Refused is set if a new flow was refused for want of room.
+	Refused *RefusedFlow
 }
 
 // Balancer decides about the segments of callers. It is safe for concurrent use.
@@ -93,11 +98,12 @@
 	owners          *ownerCache
 	loads           *loadTracker
 	searches        *searchTable
+	shares          *shareTable
 }
 
 // NewBalancer returns a Balancer in an availability zone, with an empty table.
 func NewBalancer(zone string) *Balancer {
-	b := &Balancer{zone: zone, owners: newOwnerCache(), loads: newLoadTracker(), searches: newSearchTable()}
+	b := &Balancer{zone: zone, owners: newOwnerCache(), loads: newLoadTracker(), searches: newSearchTable(), shares: newShareTable()}
 	b.table.Store(NewTable())
 	return b
 }
@@ -109,6 +115,7 @@
 func (b *Balancer) SetTable(t *Table) {
 	b.table.Store(t)
 	b.loads.prune(t)
+	b.shares.prune(t)
 }
 
 // ConfirmConfig records that the active configuration has been confirmed as current.
@@ -179,19 +186,30 @@
 // would use up the caller's attempts at once, and a place in a full queue would delay
 // requests that can still be answered in time. The limits are meant for the surge after
 // an outage, when waiting callers and new ones arrive together: callers that retransmit
-// are late already and get the capacity that first SYNs leave.
+// are late already and get the capacity that first SYNs leave. Services with settings
+// for contention have admit instead.
 func (b *Balancer) placeFlow(now time.Duration, t *Table, s *Segment, id flow.ID, hops uint8) Decision {
-	service, ok := selectService(id.Key, t.routes[s.Tuple.Service].Services)
+	ws, ok := selectService(id.Key, t.routes[s.Tuple.Service].Services)
 	if !ok {
 		return Decision{Verdict: Reset, Reason: ReasonNoMember}
 	}
-	if b.loads.allOverloaded(now, t.members[service], s.Retransmits) {
+	service, candidates := ws.Service, t.placementCandidates(id.Key, ws.Service)
+	switch {
+	case ws.Contention != Contention{}:
+		var refused Decision
+		if candidates, refused = b.admit(now, t, s, ws, candidates); refused.Refused != nil {
+			return refused
+		}
+	case b.loads.allOverloaded(now, t.members[service], s.Retransmits):
 		return Decision{Verdict: Drop, Reason: ReasonOverloaded}
 	}
-	m := b.loads.selectLeastLoaded(now, t.placementCandidates(id.Key, service), b.zone)
+	m := b.loads.selectLeastLoaded(now, candidates, b.zone)
 	if m == nil {
 		return b.rejectUnplaced(t, service)
 	}
+	if (ws.Contention != Contention{}) {
+		b.shares.recordPlaced(now, service, s.Tuple)
+	}
 	b.owners.set(now, id, owner{service: m.service, seed: m.peer.Seed, retransmits: s.Retransmits})
 	return Decision{Verdict: Forward, Reason: ReasonPlaced, To: m.peer, Service: m.service, Hops: hops}
 }
--- a/core/routing/balancer_test.go
+++ b/core/routing/balancer_test.go
@@ -289,7 +289,7 @@
 		id := tuple(n).ID()
 		service, ok := selectService(id.Key, routes[address].Services)
 		is.True(ok)
-		counts[service]++
+		counts[service.Service]++
 	}
 	is.True(counts[otherService] > 150 && counts[otherService] < 250)
 }
--- /dev/null
+++ b/core/routing/shares.go
@@ -0,0 +1,137 @@
+package routing
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"fulmarmount.org/core/flow"
+	"fulmarmount.org/core/view"
+)
+
+const (
+	// minCallerFlows is the number of new flows a second at one balancer up to which no
+	// caller is above its share.
+	minCallerFlows = 4
+	// callerCountsTTL is how long callers are counted after room was short.
+	callerCountsTTL = 10 * time.Second
+)
+
+// shareTable holds how much of each service its listeners and callers use: the new flows
+// that this balancer has placed in the last recentTime. Callers reach all balancers
+// alike, so each keeps the shares of what it places without asking the others.
+type shareTable struct {
+	mu        sync.Mutex
+	byService map[view.ServiceID]*serviceUse
+}
+
+type serviceUse struct {
+	placed     recentCount
+	byListener map[netip.AddrPort]*listenerUse
+	// callers counts the new flows of callers. It is nil unless room was short within
+	// callerCountsTTL before shortAt.
+	callers *callerCounts
+	shortAt time.Duration
+}
+
+// listenerUse are the new flows of one listener.
+type listenerUse struct{ asked, placed recentCount }
+
+func newShareTable() *shareTable { return &shareTable{byService: make(map[view.ServiceID]*serviceUse)} }
+
+func (s *shareTable) useOf(service view.ServiceID, listener netip.AddrPort) (*serviceUse, *listenerUse) {
+	use := s.byService[service]
+	if use == nil {
+		use = &serviceUse{byListener: make(map[netip.AddrPort]*listenerUse)}
+		s.byService[service] = use
+	}
+	own := use.byListener[listener]
+	if own == nil {
+		own = &listenerUse{}
+		use.byListener[listener] = own
+	}
+	return use, own
+}
+
+// recordPlaced records that a flow was placed on a member of the service.
+func (s *shareTable) recordPlaced(now time.Duration, service view.ServiceID, t flow.Tuple) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	use, own := s.useOf(service, t.Service)
+	use.placed.add(now)
+	own.placed.add(now)
+	if use.callers != nil {
+		use.callers.add(now, t.Caller.Addr())
+	}
+}
+
+// ask records that a caller asks for a new flow, and whether room is short. It reports
+// whether the listener uses less than what is reserved for it, and whether the caller
+// uses more than one caller may while room is short.
+//
+// The first answers a flood of one listener's callers, whether they are the most or the
+// least urgent: idle shares are usable by all, and a listener below its share is placed
+// where the flood no longer is. The second answers a caller that opens so many flows
+// that others of the same listener find no room.
+func (s *shareTable) ask(now time.Duration, ws WeightedService, t flow.Tuple, isShort bool) (isBelowShare, isGreedy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	use, own := s.useOf(ws.Service, t.Service)
+	own.asked.add(now)
+	use.countCallers(now, isShort && ws.Contention.CallerShare > 0)
+	return use.isBelowShare(now, own, ws.Contention), isShort && use.isGreedy(now, t.Caller.Addr(), ws.Contention)
+}
+
+// isBelowShare reports whether a listener uses less than its equal part of what is
+// reserved.
+func (u *serviceUse) isBelowShare(now time.Duration, own *listenerUse, c Contention) bool {
+	if c.ReservedShare == 0 {
+		return false
+	}
+	inUse := uint64(0)
+	for _, other := range u.byListener {
+		if other.asked.value(now) > 0 {
+			inUse++
+		}
+	}
+	reserved := uint64(u.placed.value(now)) * uint64(c.ReservedShare)
+	return inUse > 1 && uint64(own.placed.value(now))*100*inUse <= reserved
+}
+
+// isGreedy reports whether a caller uses more than one caller may.
+func (u *serviceUse) isGreedy(now time.Duration, caller netip.Addr, c Contention) bool {
+	if u.callers == nil {
+		return false
+	}
+	flows := u.callers.value(now, caller)
+	return flows > minCallerFlows && uint64(flows)*100 > uint64(u.placed.value(now))*uint64(c.CallerShare)
+}
+
+// countCallers starts to count callers if room is short, and ends it once it was not for
+// callerCountsTTL.
+func (u *serviceUse) countCallers(now time.Duration, isShort bool) {
+	switch {
+	case isShort && u.callers == nil:
+		u.callers, u.shortAt = &callerCounts{}, now
+	case isShort:
+		u.shortAt = now
+	case now-u.shortAt > callerCountsTTL:
+		u.callers = nil
+	}
+}
+
+// prune deletes the uses of services and listeners that t does not route.
+func (s *shareTable) prune(t *Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service, use := range s.byService {
+		for listener := range use.byListener {
+			if !t.HasRoute(listener) {
+				delete(use.byListener, listener)
+			}
+		}
+		if len(use.byListener) == 0 {
+			delete(s.byService, service)
+		}
+	}
+}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -17,6 +17,8 @@
 type WeightedService struct {
 	Service view.ServiceID
 	Weight  uint32
+	// Contention is the same at all addresses of the service.
+	Contention Contention
 }
 
 // Route is what is behind one address.
@@ -207,7 +209,7 @@
 	services := t.routes[addr].Services
 	var out []view.ServiceID
 	if selected, ok := selectService(key, services); ok {
-		out = append(out, selected)
+		out = append(out, selected.Service)
 	}
 	add := func(id view.ServiceID) {
 		if !slices.Contains(out, id) {
@@ -222,22 +224,22 @@
 
 // selectService returns the service for a new flow, by the weights of services. The
 // result is the same on every balancer.
-func selectService(key uint64, services []WeightedService) (view.ServiceID, bool) {
+func selectService(key uint64, services []WeightedService) (WeightedService, bool) {
 	var total uint64
 	for _, ws := range services {
 		total += uint64(ws.Weight)
 	}
 	if total == 0 {
-		return 0, false
+		return WeightedService{}, false
 	}
 	offset := placement.Mix(key, serviceHashSeed) % total
 	for _, ws := range services {
 		if offset < uint64(ws.Weight) {
-			return ws.Service, true
+			return ws, true
 		}
 		offset -= uint64(ws.Weight)
 	}
-	return 0, false
+	return WeightedService{}, false
 }
 
 // serviceHashSeed makes the selection of a service independent of that of a member.
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -69,6 +69,7 @@
 	*envelopeSocket
 	counters         *counters
 	decisionCounters *decisionCounters
+	refusals         *refusalLog
 	placementLatency histogram.Histogram
 	pool             *peer.Pool
 	started          time.Time
@@ -95,7 +96,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{
 		options: o, router: routing.NewBalancer(o.Zone), callers: callers, envelopeSocket: sockets, counters: counts, started: o.Now(), cancel: cancel,
-		pool: newPool(o.CommonOptions), decisionCounters: newDecisionCounters(), placementTimes: newStartTimes(), searchPackets: newPacketBuffer(),
+		pool: newPool(o.CommonOptions), decisionCounters: newDecisionCounters(), refusals: newRefusalLog(), placementTimes: newStartTimes(), searchPackets: newPacketBuffer(),
 		configVersions: make(map[view.ServiceID]view.Version), services: make(map[string]proto.Service),
 	}
 	b.tasks.Go(func() { b.readDatagrams(b.callers, b.receiveFromCaller) })
@@ -277,6 +278,10 @@
 	if d.Verdict != routing.Forward {
 		b.searchPackets.remove(s.Tuple.ID())
 	}
+	if d.Refused != nil {
+		b.refusals.record(now, b.options.Log, s, d)
+		return
+	}
 	b.logDecision(s, d)
 }
 
--- a/internal/segment/metrics.go
+++ b/internal/segment/metrics.go
@@ -17,14 +17,16 @@
 // BalancerCounters are the counters of a balancer.
 type BalancerCounters struct {
 	// Decisions counts segments by the reason of the decision.
-	Decisions     map[string]uint64 `json:"decisions"`
-	Returned      uint64            `json:"returned"`
-	Resets        uint64            `json:"resets"`
-	Notifications uint64            `json:"notes"`
-	Failed        uint64            `json:"failed"`
-	Refused       uint64            `json:"refused"`
-	Garbled       uint64            `json:"garbled"`
-	CachedFlows   int               `json:"flows"`
+	Decisions map[string]uint64 `json:"decisions"`
+	// RefusedFlows counts the SYNs refused for want of room by listener and reason.
+	RefusedFlows  map[string]map[string]uint64 `json:"refused_flows,omitempty"`
+	Returned      uint64                       `json:"returned"`
+	Resets        uint64                       `json:"resets"`
+	Notifications uint64                       `json:"notes"`
+	Failed        uint64                       `json:"failed"`
+	Refused       uint64                       `json:"refused"`
+	Garbled       uint64                       `json:"garbled"`
+	CachedFlows   int                          `json:"flows"`
 	// PlacementLatency is the time from the first SYN to the notification of the
 	// flow's owner.
 	PlacementLatency histogram.Summary `json:"placing"`
--- a/internal/segment/routes.go
+++ b/internal/segment/routes.go
@@ -1,6 +1,7 @@
 package segment
 
 import (
+	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/core/routing"
 	"fulmarmount.org/fulmarmount/internal/proto"
 )
@@ -11,7 +12,9 @@
 	for _, s := range b.services {
 		for _, in := range s.Inbound {
 			route := routes[in.Addr]
-			route.Services = insertByService(route.Services, routing.WeightedService{Service: s.ID, Weight: in.Weight})
+			route.Services = insertByService(route.Services, routing.WeightedService{
+				Service: s.ID, Weight: in.Weight, Contention: contentionOf(&s.Settings),
+			})
 			if in.Weight > 0 {
 				route.Listener = listenerOf(&in)
 			}
@@ -27,6 +30,11 @@
 	return routing.Listener{Timeout: in.Timeout, Objective: in.Objective, Urgency: in.Urgency, Idempotent: in.Idempotent}
 }
 
+// contentionOf returns the settings for the time in which room is short.
+func contentionOf(s *fleet.Settings) routing.Contention {
+	return routing.Contention{WaitLimit: s.WaitLimitPercent, ReservedShare: s.ReservedSharePercent, CallerShare: s.CallerSharePercent}
+}
+
 // insertByService inserts p in the order of service IDs, so that all balancers make
 // the same choice.
 func insertByService(list []routing.WeightedService, p routing.WeightedService) []routing.WeightedService {
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -77,6 +77,7 @@
 	service  string
 	conn     *net.UDPConn
 	outbound netip.AddrPort
+	held     netip.AddrPort // requests to this address get no response
 	mu       sync.Mutex
 	flows    map[flow.Tuple]bool
 }
@@ -88,7 +89,9 @@
 		if err != nil {
 			return
 		}
-		_, _ = h.conn.WriteToUDPAddrPort(h.respond(buf[:n]), h.outbound)
+		if response := h.respond(buf[:n]); response != nil {
+			_, _ = h.conn.WriteToUDPAddrPort(response, h.outbound)
+		}
 	}
 }
 
@@ -100,6 +103,8 @@
 	case in.OpensFlow():
 		h.flows[in.Tuple] = true
 		return encode(in.Tuple, routing.SYN|routing.ACK, "")
+	case h.flows[in.Tuple] && in.Tuple.Service == h.held:
+		return nil
 	case h.flows[in.Tuple]:
 		return encode(in.Tuple, routing.ACK, h.name)
 	}
@@ -295,6 +300,12 @@
 	}
 }
 
+// send sends a packet once.
+func (c *caller) send(port int, flags routing.Flags, data string) {
+	tuple := flow.Tuple{Caller: netip.AddrPortFrom(c.addr, uint16(port)), Service: c.f.serviceAddr}
+	_, _ = c.conn.WriteToUDPAddrPort(encode(tuple, flags, data), c.f.callerAddr)
+}
+
 // sendUntilAnswered retransmits a packet until it receives a response.
 func (c *caller) sendUntilAnswered(port int, flags routing.Flags, data string) (routing.Flags, string) {
 	c.f.t.Helper()
