--- a/core/routing/contention.go
+++ b/core/routing/contention.go
@@ -68,10 +68,10 @@
 	switch {
 	case f.isGreedy:
 		return r.reportedLoad < idleLimit
+	case f.isBelowShare && (f.elapsed == 0 || !f.missesObjective(r.response)):
+		return r.load < reservedLimit
 	case f.missesObjective(r.response):
 		return (r.load+r.reportedLoad)/2 < idleLimit
-	case f.isBelowShare:
-		return r.load < reservedLimit
 	}
 	return (r.load+r.reportedLoad)/2 < sharedLimit
 }
