Reset new flows in floods only, and let callers wait in a crest

Change: a first SYN without room is reset while its listener is asked for more than one and a half times what it is placed for, and dropped otherwise; late copies get queue places outside of floods. Conclusion: whether to reset depends on whether waiting helps.

--- a/core/routing/contention.go
+++ b/core/routing/contention.go
@@ -39,9 +39,7 @@
 	contention Contention
 	// elapsed is the time since the caller's first SYN.
 	elapsed time.Duration
-	// isBelowShare is set if the listener uses less than its share, isGreedy if the
-	// caller uses more than one caller may.
-	isBelowShare, isGreedy bool
+	claim
 }
 
 // missesObjective reports whether a response in that time would miss the objective.
@@ -70,7 +68,7 @@
 		return r.reportedLoad < idleLimit
 	case f.isBelowShare && (f.elapsed == 0 || !f.missesObjective(r.response)):
 		return r.load < reservedLimit
-	case f.missesObjective(r.response):
+	case f.isFlooded && f.missesObjective(r.response):
 		return (r.load+r.reportedLoad)/2 < idleLimit
 	}
 	return (r.load+r.reportedLoad)/2 < sharedLimit
@@ -94,7 +92,7 @@
 	f := newFlow{listener: t.routes[s.Tuple.Service].Listener, contention: ws.Contention, elapsed: sinceFirstSYN(s.Retransmits)}
 	rooms := b.loads.rooms(now, candidates)
 	isShort := !slices.ContainsFunc(rooms, func(r room) bool { return r.reportedLoad < idleLimit })
-	f.isBelowShare, f.isGreedy = b.shares.ask(now, ws, s.Tuple, isShort)
+	f.claim = b.shares.ask(now, ws, s.Tuple, isShort)
 	fitting, inTime := candidates[:0:0], false
 	for _, r := range rooms {
 		inTime = inTime || !f.missesTimeout(r.response)
@@ -116,7 +114,7 @@
 	switch {
 	case !inTime:
 		d.Reason = ReasonTooLate
-	case f.elapsed > 0:
+	case f.elapsed > 0 || !f.isFlooded && !f.isGreedy:
 		d.Verdict, d.Reason = Drop, ReasonOverloaded
 	case f.isGreedy:
 		d.Reason = ReasonCallerShare
--- a/core/routing/shares.go
+++ b/core/routing/shares.go
@@ -13,6 +13,10 @@
 	// minCallerFlows is the number of new flows a second at one balancer up to which no
 	// caller is above its share.
 	minCallerFlows = 4
+	// A listener is flooded from floodPercent as many asked as placed flows on, in percent,
+	// and minFloodFlows more, in the last recentTime.
+	floodPercent  = 150
+	minFloodFlows = 4
 	// callerCountsTTL is how long callers are counted after room was short.
 	callerCountsTTL = 10 * time.Second
 )
@@ -65,21 +69,34 @@
 	}
 }
 
-// ask records that a caller asks for a new flow, and whether room is short. It reports
-// whether the listener uses less than what is reserved for it, and whether the caller
-// uses more than one caller may while room is short.
+// ask records that a caller asks for a new flow, and whether room is short, and returns
+// what the flow may claim.
 //
-// The first answers a flood of one listener's callers, whether they are the most or the
-// least urgent: idle shares are usable by all, and a listener below its share is placed
-// where the flood no longer is. The second answers a caller that opens so many flows
-// that others of the same listener find no room.
-func (s *shareTable) ask(now time.Duration, ws WeightedService, t flow.Tuple, isShort bool) (isBelowShare, isGreedy bool) {
+// Shares of listeners answer a flood of one listener's callers, whether they are the most
+// or the least urgent: idle shares are usable by all, and a listener below its share is
+// placed where the flood no longer is. Shares of callers answer a caller that opens so
+// many flows that others of the same listener find no room. Whether a listener is
+// flooded tells a flood from a crest, in which all callers can still be served.
+func (s *shareTable) ask(now time.Duration, ws WeightedService, t flow.Tuple, isShort bool) (c claim) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	use, own := s.useOf(ws.Service, t.Service)
 	own.asked.add(now)
 	use.countCallers(now, isShort && ws.Contention.CallerShare > 0)
-	return use.isBelowShare(now, own, ws.Contention), isShort && use.isGreedy(now, t.Caller.Addr(), ws.Contention)
+	return claim{
+		isBelowShare: use.isBelowShare(now, own, ws.Contention),
+		isGreedy:     isShort && use.isGreedy(now, t.Caller.Addr(), ws.Contention),
+		isFlooded:    own.asked.value(now)*100 > floodPercent*own.placed.value(now)+100*minFloodFlows,
+	}
+}
+
+// claim is what a new flow may claim.
+type claim struct {
+	// isBelowShare is set if the listener uses at most its share, isGreedy if the caller
+	// uses more than one caller may while room is short.
+	isBelowShare, isGreedy bool
+	// isFlooded is set if the listener is asked for far more than fits.
+	isFlooded bool
 }
 
 // isBelowShare reports whether a listener uses less than its equal part of what is
