--- a/core/routing/contention.go
+++ b/core/routing/contention.go
@@ -80,11 +80,12 @@
 //
 // All that fit are among the first maxPlacementCandidates, so that searches find the flow.
 //
-// A first SYN that is refused is reset: its caller tries again at once, and on other
-// candidates, as the new flow has another key. Silence would hold it until its objective
-// is missed, and would bring it back later among those that can still be served in time.
-// A retransmitted SYN is dropped, since its caller has missed the objective anyway and
-// may be served later.
+// In a flood a first SYN that is refused is reset: its caller tries again at once, and on
+// other candidates, as the new flow has another key. Silence would hold it until its
+// objective is missed, and would bring it back among those that can still be served in
+// time. In a crest, in which nearly all can be served, it is dropped: it has room with its
+// next copy, while three resets within milliseconds use up a caller's tries. A
+// retransmitted SYN is dropped, as its caller may be served later.
 func (b *Balancer) admit(now time.Duration, t *Table, s *Segment, ws WeightedService, candidates []*member) ([]*member, Decision) {
 	if len(candidates) == 0 {
 		return candidates, Decision{}
--- a/core/routing/shares.go
+++ b/core/routing/shares.go
@@ -77,7 +77,7 @@
 // placed where the flood no longer is. Shares of callers answer a caller that opens so
 // many flows that others of the same listener find no room. Whether a listener is
 // flooded tells a flood from a crest, in which all callers can still be served.
-func (s *shareTable) ask(now time.Duration, ws WeightedService, t flow.Tuple, isShort bool) (c claim) {
+func (s *shareTable) ask(now time.Duration, ws WeightedService, t flow.Tuple, isShort bool) claim {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	use, own := s.useOf(ws.Service, t.Service)
@@ -95,12 +95,11 @@
 	// isBelowShare is set if the listener uses at most its share, isGreedy if the caller
 	// uses more than one caller may while room is short.
 	isBelowShare, isGreedy bool
-	// isFlooded is set if the listener is asked for far more than fits.
+	// isFlooded is set if far more flows of the listener are asked for than placed.
 	isFlooded bool
 }
 
-// isBelowShare reports whether a listener uses less than its equal part of what is
-// reserved.
+// isBelowShare reports whether a listener uses at most its equal part of what is reserved.
 func (u *serviceUse) isBelowShare(now time.Duration, own *listenerUse, c Contention) bool {
 	if c.ReservedShare == 0 {
 		return false
@@ -117,7 +116,7 @@
 
 // isGreedy reports whether a caller uses more than one caller may.
 func (u *serviceUse) isGreedy(now time.Duration, caller netip.Addr, c Contention) bool {
-	if u.callers == nil {
+	if u.callers == nil || c.CallerShare == 0 {
 		return false
 	}
 	flows := u.callers.value(now, caller)
