--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -361,3 +361,6 @@
 	s.Members = len(r.members)
 	return s
 }
+
+// ViewsComplete reports whether views lack no member that may own flows.
+func (r *Registry) ViewsComplete(now time.Duration) bool { return !r.viewsPartial(now) }
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -309,3 +309,16 @@
 func (t *Table) findMember(service view.ServiceID, seed uint64) *member {
 	return t.bySeed[service][seed]
 }
+
+// HasCompleteViews reports whether the table has the views of all routed services and
+// all of them are complete.
+func (t *Table) HasCompleteViews() bool {
+	for _, services := range t.routes {
+		for _, ws := range services {
+			if !t.hasCompleteView(ws.Service) {
+				return false
+			}
+		}
+	}
+	return len(t.routes) > 0
+}
--- a/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -68,6 +68,7 @@
 		}
 	}
 	close(c.current)
+	c.phases.End(phaseConfigurationRead)
 	for {
 		changed := c.options.Fleet.Changed()
 		c.options.Fleet.Peek(c.adopt)
--- a/internal/role/control/control.go
+++ b/internal/role/control/control.go
@@ -18,6 +18,7 @@
 	"fulmarmount.org/fulmarmount/internal/group"
 	"fulmarmount.org/fulmarmount/internal/keys"
 	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/phases"
 	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
@@ -81,11 +82,12 @@
 	stopPassing context.CancelFunc
 	// changed is closed when term or leader change.
 	changed chan struct{}
+	phases  *phases.Tracker
 }
 
 // Start opens the socket and serves daemons until Close.
 func Start(o Options) (*Control, error) {
-	c := &Control{options: o, changed: make(chan struct{})}
+	c := &Control{options: o, changed: make(chan struct{}), phases: phases.New(o.Now, o.Log, phaseLeaderKnown)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.passing, c.stopPassing = context.WithCancel(c.ctx)
 	handlers := map[string]peer.Handler{
--- a/internal/role/control/dump.go
+++ b/internal/role/control/dump.go
@@ -7,6 +7,7 @@
 
 	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/fulmarmount/internal/phases"
 	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
@@ -51,14 +52,20 @@
 	Lapses        uint64 `json:"lapses"`
 	Spared        uint64 `json:"spared"`
 	Views         uint64 `json:"views"`
+	// Start tells when the phases of the process's start have ended, Term those of its
+	// term as the leader.
+	Start []phases.Phase `json:"start,omitempty"`
+	Term  []phases.Phase `json:"term,omitempty"`
 }
 
 // Counters returns the counts since the process came to lead.
 func (c *Control) Counters() any {
 	if t := c.current(); t != nil {
-		return t.counters()
+		counters := t.counters()
+		counters.Start = c.phases.Ended()
+		return counters
 	}
-	return Counters{}
+	return Counters{Start: c.phases.Ended()}
 }
 
 func (c *term) counters() Counters {
@@ -67,6 +74,6 @@
 	s := c.registry.Stats()
 	return Counters{
 		Members: s.Members, Announcements: s.Announcements, Replayed: s.ReplayedAnnouncements, Invalid: s.InvalidAnnouncements,
-		Lapses: s.ExpiredLeases, Spared: s.SkippedEjections, Views: s.PublishedViews,
+		Lapses: s.ExpiredLeases, Spared: s.SkippedEjections, Views: s.PublishedViews, Term: c.phases.Ended(),
 	}
 }
--- a/internal/role/control/lead.go
+++ b/internal/role/control/lead.go
@@ -42,6 +42,7 @@
 	}
 	if !l.IsLeader {
 		c.setLeader(l.LeaderAddr)
+		c.endLeaderPhase()
 		return
 	}
 	c.setLeader(netip.AddrPort{})
@@ -52,6 +53,7 @@
 	}
 	c.options.Log.Info("Leads.", zap.Uint64("term", l.Term))
 	c.term = t
+	c.endLeaderPhase()
 }
 
 // notify wakes the streams that wait for a leader. The caller holds the lock.
--- a/internal/role/control/term.go
+++ b/internal/role/control/term.go
@@ -14,6 +14,7 @@
 	"fulmarmount.org/fulmarmount/internal/keys"
 	"fulmarmount.org/fulmarmount/internal/pace"
 	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/phases"
 	"fulmarmount.org/fulmarmount/internal/proto"
 	"fulmarmount.org/fulmarmount/internal/subscribe"
 )
@@ -39,6 +40,7 @@
 	// current is closed once the configuration is known to be current.
 	current chan struct{}
 	started time.Time
+	phases  *phases.Tracker
 
 	mu            sync.Mutex
 	configuration configuration
@@ -59,6 +61,7 @@
 		current:  make(chan struct{}),
 		registry: lease.NewRegistry(o.registryOptions(fleet.DefaultSettings())),
 		started:  o.Now(),
+		phases:   phases.New(o.Now, o.Log, phaseConfigurationRead, phaseFirstViews, phaseAllAnnounced),
 	}
 	options := subscribe.PublisherOptions{Epoch: epoch, Now: o.Now}
 	if o.Group != nil {
@@ -161,6 +164,7 @@
 	for _, v := range c.registry.Tick(c.elapsed()) {
 		c.publish(v)
 	}
+	c.endViewPhases()
 }
 
 // publish hands a view to the subscribers. The caller holds the lock.
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -16,6 +16,7 @@
 	"fulmarmount.org/fulmarmount/internal/pace"
 	"fulmarmount.org/fulmarmount/internal/packet"
 	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/phases"
 	"fulmarmount.org/fulmarmount/internal/proto"
 	"fulmarmount.org/fulmarmount/internal/udp"
 )
@@ -59,6 +60,7 @@
 	cancel          context.CancelFunc
 	tasks           sync.WaitGroup
 	loadReporter    loadReporter
+	phases          *phases.Tracker
 	// announceNow requests an immediate announcement.
 	announceNow chan struct{}
 
@@ -87,7 +89,7 @@
 	}
 	a := &Agent{
 		options: o, outbound: outbound, envelopeSocket: sockets, counters: counts, started: o.Now(), pool: newPool(o.CommonOptions), requestTimes: newStartTimes(),
-		announceNow: make(chan struct{}, 1), loadReporter: newLoadReporter(),
+		announceNow: make(chan struct{}, 1), loadReporter: newLoadReporter(), phases: newAgentPhases(o.CommonOptions),
 	}
 	a.steer = routing.NewAgent(0, routing.AgentOptions{SilenceTimeout: o.BackendSilenceTimeout, IdleTimeout: o.IdleTimeout})
 	a.ctx, a.cancel = context.WithCancel(context.Background())
@@ -144,6 +146,7 @@
 	a.service = id
 	a.mu.Unlock()
 	a.steer.SetService(id, version, addrs)
+	a.phases.End(phaseConfigured)
 	a.options.Log.Info("Adopted a configuration.",
 		zap.Uint32("service", uint32(id)), zap.Stringer("version", version), zap.Int("addresses", len(addrs)))
 	a.requestAnnouncement()
@@ -194,6 +197,7 @@
 		return
 	}
 	a.delivered.Add(1)
+	a.phases.End(phaseFirstSegment)
 	if s.OpensFlow() {
 		a.options.Log.Info("Delivered the first segment of a flow.",
 			zap.Stringer("caller", s.Tuple.Caller), zap.Stringer("address", s.Tuple.Service), zap.Uint32("seq", s.Seq),
@@ -281,6 +285,7 @@
 		return
 	}
 	a.replied.Add(1)
+	a.phases.End(phaseFirstReply)
 }
 
 // tick checks the backend server's state and reports its load to balancers.
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -75,6 +75,7 @@
 	a.report, a.announcementCount = r, 0
 	a.steer.SetState(state)
 	a.reports.Add(1)
+	a.phases.End(phaseBackendReported)
 	if hasChanged {
 		a.options.Log.Info("Backend server's state changed.", zap.String("id", r.ID), zap.String("service", r.Service),
 			zap.Uint64("run", r.Incarnation), zap.Stringer("standing", state), zap.Duration("warming", r.WarmupRemaining))
@@ -147,6 +148,7 @@
 	defer a.mu.Unlock()
 	if reply.Accepted && announcement.Incarnation == view.Incarnation(a.report.Incarnation) {
 		a.isAnnounced = true
+		a.phases.End(phaseAnnounced)
 	}
 }
 
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -18,6 +18,7 @@
 	"fulmarmount.org/fulmarmount/internal/pace"
 	"fulmarmount.org/fulmarmount/internal/packet"
 	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/phases"
 	"fulmarmount.org/fulmarmount/internal/proto"
 	"fulmarmount.org/fulmarmount/internal/subscribe"
 	"fulmarmount.org/fulmarmount/internal/udp"
@@ -78,6 +79,7 @@
 	// placementTimes holds the times at which flows were first forwarded.
 	placementTimes startTimes
 	searchPackets  packetBuffer
+	phases         *phases.Tracker
 
 	mu             sync.RWMutex
 	configVersions map[view.ServiceID]view.Version
@@ -95,7 +97,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{
 		options: o, router: routing.NewBalancer(o.Zone), callers: callers, envelopeSocket: sockets, counters: counts, started: o.Now(), cancel: cancel,
-		pool: newPool(o.CommonOptions), decisionCounters: newDecisionCounters(), placementTimes: newStartTimes(), searchPackets: newPacketBuffer(),
+		pool: newPool(o.CommonOptions), decisionCounters: newDecisionCounters(), placementTimes: newStartTimes(), searchPackets: newPacketBuffer(), phases: newBalancerPhases(o.CommonOptions),
 		configVersions: make(map[view.ServiceID]view.Version), services: make(map[string]proto.Service),
 	}
 	b.tasks.Go(func() { b.readDatagrams(b.callers, b.receiveFromCaller) })
@@ -144,6 +146,7 @@
 		b.options.Log.Info("Control confirmed that the configuration is current.", zap.Time("as_of", asOf))
 	}
 	b.router.ConfirmConfig()
+	b.phases.End(phaseConfirmed)
 }
 
 // applyUpdate activates an update.
@@ -160,6 +163,7 @@
 			zap.Stringer("version", v.Version), zap.Int("members", len(v.Members)), zap.Int("targets", len(v.Targets())))
 	}
 	b.router.SetTable(table)
+	b.endViewPhases(u, table)
 }
 
 func (b *Balancer) setServices(u proto.Update) {
@@ -272,11 +276,13 @@
 	b.decisionCounters.notifications.Add(1)
 	now := b.elapsed()
 	b.router.ReportLoad(now, n.Service, n.Seed, n.Load)
+	b.phases.End(phaseFirstLoad)
 	if !n.OwnsFlow {
 		return
 	}
 	id := h.Flow.Tuple.ID()
 	b.router.ConfirmOwner(now, id, n.Service, n.Seed)
+	b.phases.End(phaseFirstOwned)
 	b.searchPackets.remove(id)
 	if placementTime, ok := b.placementTimes.take(id); ok {
 		b.placementLatency.Add(now - placementTime)
@@ -286,6 +292,7 @@
 // execute carries out a decision about a segment.
 func (b *Balancer) execute(now time.Duration, s *routing.Segment, d routing.Decision, payload []byte) {
 	b.decisionCounters.byReason[d.Reason].Add(1)
+	b.endDecisionPhases(d)
 	switch d.Verdict {
 	case routing.Forward:
 		switch {
--- a/internal/segment/dump.go
+++ b/internal/segment/dump.go
@@ -34,7 +34,7 @@
 	return BalancerCounters{
 		Decisions: b.decisionCounters.countsByReason(), Returned: b.decisionCounters.returned.Load(), Resets: b.decisionCounters.resets.Load(),
 		Notifications: b.decisionCounters.notifications.Load(), Failed: b.counters.socketErrors.Load(), Refused: b.counters.rejectedEnvelopes.Load(),
-		Garbled: b.counters.malformedPackets.Load(), CachedFlows: b.router.CachedFlows(), PlacementLatency: b.placementLatency.Summary(),
+		Garbled: b.counters.malformedPackets.Load(), CachedFlows: b.router.CachedFlows(), PlacementLatency: b.placementLatency.Summary(), Start: b.phases.Ended(),
 	}
 }
 
@@ -63,6 +63,6 @@
 		Delivered: a.delivered.Load(), Replied: a.replied.Load(), Returned: a.returned.Load(), Bounced: a.bounced.Load(),
 		Reports: a.reports.Load(), Failed: a.counters.socketErrors.Load(),
 		Refused: a.counters.rejectedEnvelopes.Load(), Garbled: a.counters.malformedPackets.Load(),
-		Flows: load.Flows, RunningRequests: load.RunningRequests, ResponseLatency: a.responseLatency.Summary(),
+		Flows: load.Flows, RunningRequests: load.RunningRequests, ResponseLatency: a.responseLatency.Summary(), Start: a.phases.Ended(),
 	}
 }
--- a/internal/segment/metrics.go
+++ b/internal/segment/metrics.go
@@ -5,6 +5,7 @@
 
 	"fulmarmount.org/core/routing"
 	"fulmarmount.org/fulmarmount/internal/histogram"
+	"fulmarmount.org/fulmarmount/internal/phases"
 )
 
 // counters are the counters of both roles.
@@ -28,6 +29,8 @@
 	// PlacementLatency is the time from the first SYN to the notification of the
 	// flow's owner.
 	PlacementLatency histogram.Summary `json:"placing"`
+	// Start tells when the phases of the start have ended.
+	Start []phases.Phase `json:"start"`
 }
 
 // decisionCounters counts the decisions of a balancer.
@@ -67,4 +70,6 @@
 	// ResponseLatency is the time from the last segment of a request to the first
 	// segment of its response.
 	ResponseLatency histogram.Summary `json:"answering"`
+	// Start tells when the phases of the start have ended.
+	Start []phases.Phase `json:"start"`
 }
