Open a new stream to a replica whose process has restarted

Cause: a replica wrote into its stream to the process that the other one was before, until nothing had been received for 1.5 s; answers to a pre-vote, votes and heartbeats were lost. A restarted replica knew no leader for 2.7 s, and the loss of the next leader in that time took 2.5 to 3.3 s. Change: a Hello names the run of its process; a stream that was opened before another run counts as dead.

--- a/internal/replicalink/link.go
+++ b/internal/replicalink/link.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -41,6 +42,8 @@
 type Hello struct {
 	// From is the sender, with the address at which it receives messages.
 	From quorum.Member `cbor:"1,keyasint"`
+	// Run identifies the run of the sender's process; 0 if it does not tell.
+	Run uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Identity describes a replica and the cluster that it belongs to.
@@ -106,6 +109,7 @@
 // Link is a replica.Transport. It is safe for concurrent use.
 type Link struct {
 	options Options
+	run     uint64 // identifies this run of the process
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -115,16 +119,18 @@
 	learnedAddrs map[quorum.ReplicaID]netip.AddrPort // from the Hellos of incoming streams
 	senders      map[netip.AddrPort]*sender
 	lastReceived map[netip.AddrPort]time.Time
+	runs         map[netip.AddrPort]uint64 // from the Hellos of incoming streams
 }
 
 // New returns a Link. It connects to a replica at the first message to it.
 func New(o Options) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Link{
-		options: o, ctx: ctx, cancel: cancel,
+		options: o, run: rand.Uint64() | 1, ctx: ctx, cancel: cancel,
 		learnedAddrs: make(map[quorum.ReplicaID]netip.AddrPort),
 		senders:      make(map[netip.AddrPort]*sender),
 		lastReceived: make(map[netip.AddrPort]time.Time),
+		runs:         make(map[netip.AddrPort]uint64),
 	}
 }
 
@@ -209,6 +215,7 @@
 		l.options.Log.Warn("Rejected a message stream: the replica's address is invalid.", zap.String("peer", from.Name), zap.Error(err))
 		return
 	}
+	l.recordRun(addr, hello.Run)
 	l.recordHello(hello.From.ID, addr)
 	for {
 		messages, err := receiveBatch(s)
@@ -234,6 +241,21 @@
 	}
 }
 
+// recordRun stores the run of the process at addr. If another run was known, the streams
+// to it have ended with it, and nothing else would tell this process.
+func (l *Link) recordRun(addr netip.AddrPort, run uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	previous := l.runs[addr]
+	if run == 0 || run == previous {
+		return
+	}
+	l.runs[addr] = run
+	if s := l.senders[addr]; s != nil && previous != 0 {
+		s.peerRestarts.Add(1)
+	}
+}
+
 // HandleIdentify serves a stream of kind KindIdentify.
 func (l *Link) HandleIdentify(_ context.Context, from keys.Info, s *peer.Stream) {
 	if _, ok := l.receiveHello(from, s); ok {
@@ -298,7 +320,7 @@
 	defer s.Abort()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
-	if err := s.Send(Hello{From: l.options.Self}); err != nil {
+	if err := s.Send(Hello{From: l.options.Self, Run: l.run}); err != nil {
 		return err
 	}
 	return s.Recv(response)
--- a/internal/replicalink/sender.go
+++ b/internal/replicalink/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -19,6 +20,8 @@
 	addr      netip.AddrPort
 	messages  chan []quorum.Message
 	snapshots chan []quorum.Message
+	// peerRestarts counts the restarts of the process at addr.
+	peerRestarts atomic.Uint64
 
 	mu sync.Mutex
 	// helloReceived is closed and replaced when the replica at addr opens a stream to
@@ -55,6 +58,7 @@
 type outgoingStream struct {
 	stream               *peer.Stream
 	openedAt             time.Time
+	peerRestarts         uint64          // sender.peerRestarts when the latest attempt began
 	openFailedAt         time.Time       // time of the latest failed attempt to open it
 	nextHello            <-chan struct{} // closed if a Hello was received since the latest attempt
 	needsReplacementConn bool            // the next stream replaces the connection
@@ -90,7 +94,7 @@
 // the protocol retransmits.
 func (s *sender) write(out *outgoingStream, batch []quorum.Message) {
 	now := s.link.options.Now()
-	if out.stream != nil && now.Sub(later(out.openedAt, s.link.lastReceivedAt(s.addr))) > unresponsiveTimeout {
+	if out.stream != nil && s.isDead(out, now) {
 		s.closeStream(out)
 		out.needsReplacementConn = true
 	}
@@ -103,6 +107,12 @@
 	}
 }
 
+// isDead reports whether the process at addr has restarted since the stream was opened,
+// or nothing was received from it for unresponsiveTimeout.
+func (s *sender) isDead(out *outgoingStream, now time.Time) bool {
+	return out.peerRestarts != s.peerRestarts.Load() || now.Sub(later(out.openedAt, s.link.lastReceivedAt(s.addr))) > unresponsiveTimeout
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -117,10 +127,10 @@
 	if now.Sub(out.openFailedAt) < retryDelay && !isClosed(out.nextHello) {
 		return false
 	}
-	out.nextHello = s.nextHello()
+	out.nextHello, out.peerRestarts = s.nextHello(), s.peerRestarts.Load()
 	stream, err := s.openStream(out.nextHello, out.needsReplacementConn)
 	if err != nil && isClosed(out.nextHello) {
-		out.nextHello = s.nextHello()
+		out.nextHello, out.peerRestarts = s.nextHello(), s.peerRestarts.Load()
 		stream, err = s.openStream(out.nextHello, out.needsReplacementConn)
 	}
 	if err != nil {
@@ -152,7 +162,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := stream.Send(Hello{From: s.link.options.Self}); err != nil {
+	if err := stream.Send(Hello{From: s.link.options.Self, Run: s.link.run}); err != nil {
 		stream.Abort()
 		return nil, err
 	}
