--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -85,6 +85,9 @@
 			response.Term = m.Term
 			r.abandonPreVote(m)
 		}
+		if r.outranks(m) {
+			r.repeatPreVote(m.From)
+		}
 		r.send(response)
 		return
 	}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -139,6 +139,7 @@
 	if o.Seeds != nil {
 		g.background.Go(func() { g.joinWhileLeaderless(ctx) })
 	}
+	g.background.Go(func() { g.watchLeader(ctx) })
 	return g, nil
 }
 
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -179,3 +179,9 @@
 	}
 	return false
 }
+
+// LeaderGone reports that the process of the leader of a term has ended, see
+// quorum.Replica.LeaderGone.
+func (n *Node) LeaderGone(ctx context.Context, leader quorum.ReplicaID, term uint64) error {
+	return n.runInLoop(ctx, func() { n.raft.LeaderGone(leader, term) })
+}
--- a/internal/replicalink/link.go
+++ b/internal/replicalink/link.go
@@ -44,6 +44,16 @@
 	From quorum.Member `cbor:"1,keyasint"`
 	// Run identifies the run of the sender's process; 0 if it does not tell.
 	Run uint64 `cbor:"2,keyasint,omitempty"`
+	// Age is the time since the start of the run.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// run is one run of another replica's process.
+type run struct {
+	id uint64
+	// startedAt is the start by this process's clock. It is late by the time that the Hello
+	// was on its way.
+	startedAt time.Time
 }
 
 // Identity describes a replica and the cluster that it belongs to.
@@ -109,7 +119,7 @@
 // Link is a replica.Transport. It is safe for concurrent use.
 type Link struct {
 	options Options
-	run     uint64 // identifies this run of the process
+	run     run // of this process
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -119,18 +129,18 @@
 	learnedAddrs map[quorum.ReplicaID]netip.AddrPort // from the Hellos of incoming streams
 	senders      map[netip.AddrPort]*sender
 	lastReceived map[netip.AddrPort]time.Time
-	runs         map[netip.AddrPort]uint64 // from the Hellos of incoming streams
+	runs         map[netip.AddrPort]run // the latest, from the Hellos of incoming streams
 }
 
 // New returns a Link. It connects to a replica at the first message to it.
 func New(o Options) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Link{
-		options: o, run: rand.Uint64() | 1, ctx: ctx, cancel: cancel,
+		options: o, run: run{id: rand.Uint64() | 1, startedAt: o.Now()}, ctx: ctx, cancel: cancel,
 		learnedAddrs: make(map[quorum.ReplicaID]netip.AddrPort),
 		senders:      make(map[netip.AddrPort]*sender),
 		lastReceived: make(map[netip.AddrPort]time.Time),
-		runs:         make(map[netip.AddrPort]uint64),
+		runs:         make(map[netip.AddrPort]run),
 	}
 }
 
@@ -215,7 +225,7 @@
 		l.options.Log.Warn("Rejected a message stream: the replica's address is invalid.", zap.String("peer", from.Name), zap.Error(err))
 		return
 	}
-	l.recordRun(addr, hello.Run)
+	l.recordRun(addr, &hello)
 	l.recordHello(hello.From.ID, addr)
 	for {
 		messages, err := receiveBatch(s)
@@ -241,19 +251,32 @@
 	}
 }
 
-// recordRun stores the run of the process at addr. If another run was known, the streams
-// to it have ended with it, and nothing else would tell this process.
-func (l *Link) recordRun(addr netip.AddrPort, run uint64) {
+// newHello returns the first message of a stream that is opened now.
+func (l *Link) newHello() Hello {
+	return Hello{From: l.options.Self, Run: l.run.id, Age: l.options.Now().Sub(l.run.startedAt)}
+}
+
+// recordRun stores the run of the process at addr. Streams that were opened before its
+// start have ended with an earlier run, which nothing else tells this process.
+func (l *Link) recordRun(addr netip.AddrPort, h *Hello) {
+	if h.Run == 0 {
+		return
+	}
+	r := run{id: h.Run, startedAt: l.options.Now().Add(-h.Age)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	previous := l.runs[addr]
-	if run == 0 || run == previous {
+	if known := l.runs[addr]; known.id == r.id && known.startedAt.Before(r.startedAt) {
 		return
 	}
-	l.runs[addr] = run
-	if s := l.senders[addr]; s != nil && previous != 0 {
-		s.peerRestarts.Add(1)
-	}
+	l.runs[addr] = r
+}
+
+// runStartedAt returns the start of the latest known run of the process at addr, or the
+// zero time if none is known.
+func (l *Link) runStartedAt(addr netip.AddrPort) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[addr].startedAt
 }
 
 // HandleIdentify serves a stream of kind KindIdentify.
@@ -320,7 +343,7 @@
 	defer s.Abort()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
-	if err := s.Send(Hello{From: l.options.Self, Run: l.run}); err != nil {
+	if err := s.Send(l.newHello()); err != nil {
 		return err
 	}
 	return s.Recv(response)
@@ -333,6 +356,10 @@
 	return l.lastReceived[addr]
 }
 
+// LastReceived returns the time of the latest message from the replica at addr, or the
+// zero time if there was none.
+func (l *Link) LastReceived(addr netip.AddrPort) time.Time { return l.lastReceivedAt(addr) }
+
 // receiveBatch reads the chunks of one batch.
 func receiveBatch(s *peer.Stream) ([]quorum.Message, error) {
 	var encoded []byte
--- a/internal/replicalink/restart_test.go
+++ b/internal/replicalink/restart_test.go
@@ -11,8 +11,8 @@
 )
 
 // A replica that has restarted calls for votes. The answers must not go into the stream
-// to the process that it was before, which nobody reads. The clock is stopped: the stream
-// never counts as unresponsive.
+// to the process that it was before, which nobody reads, also where that process has never
+// opened a stream itself. The clock is stopped: the stream never counts as unresponsive.
 func TestRestartedReplicaIsAnsweredOnANewStream(t *testing.T) {
 	is := is.New(t)
 	set, err := keys.Ephemeral(time.Now())
@@ -21,23 +21,23 @@
 	now := time.Now()
 	a.link.options.Now = func() time.Time { return now }
 	s := a.link.senderFor(b.addr)
-	request := []quorum.Message{{Type: quorum.MsgPreVote, From: 2, To: 1}}
-	b.link.Send(quorum.Member{ID: 1, Address: a.addr.String()}, request)
-	is.Equal(a.receive(t), request)
-
 	var out outgoingStream
 	is.True(s.ensureOpen(&out, now))
 	before := out.stream
+	a.link.recordRun(b.addr, &Hello{Run: 1, Age: time.Minute}) // the process that the stream goes to
 	is.True(!s.isDead(&out, now))
-	a.link.recordRun(b.addr, b.link.run) // another stream of the same process
-	is.True(!s.isDead(&out, now))
-	a.link.recordRun(b.addr, b.link.run+1)
+
+	now = now.Add(100 * time.Millisecond)
+	a.link.recordRun(b.addr, &Hello{Run: 2, Age: 10 * time.Millisecond})
 	is.True(s.isDead(&out, now))
 	s.write(&out, []quorum.Message{{Type: quorum.MsgPreVoteResp, From: 1, To: 2}})
 	is.True(out.stream != nil && out.stream != before)
 	is.Equal(b.receive(t)[0].Type, quorum.MsgPreVoteResp)
 	is.True(!s.isDead(&out, now)) // replaced once
-	a.link.recordRun(b.addr, 0)   // of an earlier release, which does not tell
+
+	now = now.Add(100 * time.Millisecond)
+	a.link.recordRun(b.addr, &Hello{Run: 2, Age: 20 * time.Millisecond}) // was long on its way
+	a.link.recordRun(b.addr, &Hello{})                                   // of an earlier release, which does not tell
 	is.True(!s.isDead(&out, now))
 	s.closeStream(&out)
 }
--- a/internal/replicalink/sender.go
+++ b/internal/replicalink/sender.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,8 +19,6 @@
 	addr      netip.AddrPort
 	messages  chan []quorum.Message
 	snapshots chan []quorum.Message
-	// peerRestarts counts the restarts of the process at addr.
-	peerRestarts atomic.Uint64
 
 	mu sync.Mutex
 	// helloReceived is closed and replaced when the replica at addr opens a stream to
@@ -58,7 +55,6 @@
 type outgoingStream struct {
 	stream               *peer.Stream
 	openedAt             time.Time
-	peerRestarts         uint64          // sender.peerRestarts when the latest attempt began
 	openFailedAt         time.Time       // time of the latest failed attempt to open it
 	nextHello            <-chan struct{} // closed if a Hello was received since the latest attempt
 	needsReplacementConn bool            // the next stream replaces the connection
@@ -110,7 +106,7 @@
 // isDead reports whether the process at addr has restarted since the stream was opened,
 // or nothing was received from it for unresponsiveTimeout.
 func (s *sender) isDead(out *outgoingStream, now time.Time) bool {
-	return out.peerRestarts != s.peerRestarts.Load() || now.Sub(later(out.openedAt, s.link.lastReceivedAt(s.addr))) > unresponsiveTimeout
+	return out.openedAt.Before(s.link.runStartedAt(s.addr)) || now.Sub(later(out.openedAt, s.link.lastReceivedAt(s.addr))) > unresponsiveTimeout
 }
 
 func later(a, b time.Time) time.Time {
@@ -127,10 +123,10 @@
 	if now.Sub(out.openFailedAt) < retryDelay && !isClosed(out.nextHello) {
 		return false
 	}
-	out.nextHello, out.peerRestarts = s.nextHello(), s.peerRestarts.Load()
+	out.nextHello = s.nextHello()
 	stream, err := s.openStream(out.nextHello, out.needsReplacementConn)
 	if err != nil && isClosed(out.nextHello) {
-		out.nextHello, out.peerRestarts = s.nextHello(), s.peerRestarts.Load()
+		out.nextHello = s.nextHello()
 		stream, err = s.openStream(out.nextHello, out.needsReplacementConn)
 	}
 	if err != nil {
@@ -162,7 +158,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := stream.Send(Hello{From: s.link.options.Self, Run: s.link.run}); err != nil {
+	if err := stream.Send(s.link.newHello()); err != nil {
 		stream.Abort()
 		return nil, err
 	}
