Try another control process after 100 ms, and keep packets that come early

Cause: agents that were up before the control processes connected 400 ms after their start, at the second or third step of the race (agents that started after them: 210 ms), and held up the first views; callers' packets that a balancer dropped before its configuration was confirmed came back 200 ms later or more. Change: the race's head start is 100 ms; a balancer keeps the latest early packet of a flow for 0.8 s and decides anew when its configuration is confirmed or views arrive.

--- a/internal/peer/race.go
+++ b/internal/peer/race.go
@@ -9,7 +9,7 @@
 
 // raceStagger is how long an address may take before the next one is tried
 // beside it.
-const raceStagger = 200 * time.Millisecond
+const raceStagger = 100 * time.Millisecond
 
 // opened is the outcome of one attempt of a race.
 type opened struct {
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -79,6 +79,7 @@
 	// placementTimes holds the times at which flows were first forwarded.
 	placementTimes startTimes
 	searchPackets  packetBuffer
+	parked         packetBuffer
 	phases         *phases.Tracker
 
 	mu             sync.RWMutex
@@ -97,7 +98,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{
 		options: o, router: routing.NewBalancer(o.Zone), callers: callers, envelopeSocket: sockets, counters: counts, started: o.Now(), cancel: cancel,
-		pool: newPool(o.CommonOptions), decisionCounters: newDecisionCounters(), placementTimes: newStartTimes(), searchPackets: newPacketBuffer(), phases: newBalancerPhases(o.CommonOptions),
+		pool: newPool(o.CommonOptions), decisionCounters: newDecisionCounters(), placementTimes: newStartTimes(), searchPackets: newPacketBuffer(searchPacketTime), parked: newPacketBuffer(maxParkedTime), phases: newBalancerPhases(o.CommonOptions),
 		configVersions: make(map[view.ServiceID]view.Version), services: make(map[string]proto.Service),
 	}
 	b.tasks.Go(func() { b.readDatagrams(b.callers, b.receiveFromCaller) })
@@ -147,6 +148,7 @@
 	}
 	b.router.ConfirmConfig()
 	b.phases.End(phaseConfirmed)
+	b.unpark()
 }
 
 // applyUpdate activates an update.
@@ -164,6 +166,7 @@
 	}
 	b.router.SetTable(table)
 	b.endViewPhases(u, table)
+	b.unpark()
 }
 
 func (b *Balancer) setServices(u proto.Update) {
@@ -225,6 +228,7 @@
 func (b *Balancer) resumeSearches() {
 	now := b.elapsed()
 	b.searchPackets.removeExpired(now)
+	b.parked.removeExpired(now)
 	for _, id := range b.router.OverdueSearches(now) {
 		packet := b.searchPackets.get(id)
 		if packet == nil {
@@ -308,6 +312,7 @@
 	if d.Verdict != routing.Forward {
 		b.searchPackets.remove(s.Tuple.ID())
 	}
+	b.park(now, s, d, payload)
 	b.logDecision(s, d)
 }
 
--- a/internal/segment/packet_buffer.go
+++ b/internal/segment/packet_buffer.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,15 +15,17 @@
 	// maxBufferedPackets bounds the packets that are buffered for searches. A search
 	// without its packet continues when the caller retransmits.
 	maxBufferedPackets = 1024
-	// packetBufferTime is how long a packet is buffered.
-	packetBufferTime = 2 * time.Second
+	// searchPacketTime is how long the packet of a search is buffered.
+	searchPacketTime = 2 * time.Second
 	// searchInterval is the interval at which a balancer checks for probes without a
 	// response.
 	searchInterval = 20 * time.Millisecond
 )
 
-// packetBuffer holds the first packet of each flow whose owner is searched for.
+// packetBuffer holds a packet of each flow whose owner is searched for, or that is
+// parked.
 type packetBuffer struct {
+	ttl     time.Duration // how long a packet is buffered
 	mu      *sync.Mutex
 	packets map[flow.ID]bufferedPacket
 }
@@ -30,8 +35,8 @@
 	data       []byte
 }
 
-func newPacketBuffer() packetBuffer {
-	return packetBuffer{mu: &sync.Mutex{}, packets: make(map[flow.ID]bufferedPacket)}
+func newPacketBuffer(ttl time.Duration) packetBuffer {
+	return packetBuffer{ttl: ttl, mu: &sync.Mutex{}, packets: make(map[flow.ID]bufferedPacket)}
 }
 
 // put buffers a copy of a packet, unless its flow has one or the buffer is full.
@@ -57,13 +62,23 @@
 	delete(k.packets, id)
 }
 
-// removeExpired removes the packets that have been buffered for more than
-// packetBufferTime.
+// takeAll removes and returns all packets, the earliest first.
+func (k *packetBuffer) takeAll() []bufferedPacket {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	all := slices.Collect(maps.Values(k.packets))
+	clear(k.packets)
+	slices.SortFunc(all, func(a, b bufferedPacket) int { return cmp.Compare(a.bufferedAt, b.bufferedAt) })
+	return all
+}
+
+// removeExpired removes the packets that have been buffered for more than the buffer's
+// ttl.
 func (k *packetBuffer) removeExpired(now time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for id, p := range k.packets {
-		if now-p.bufferedAt > packetBufferTime {
+		if now-p.bufferedAt > k.ttl {
 			delete(k.packets, id)
 		}
 	}
