--- a/internal/group/presence.go
+++ b/internal/group/presence.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return false
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	if err := conn.SetDeadline(time.Now().Add(presenceTimeout)); err != nil {
 		return false
 	}
