Ask for the owner of a flow without its packet after a loss of power

Cause: at 300 VMs control is back in 0.3 s after a loss of power and callers take 10 s. Change: in the first views of an epoch, a member that started in it and whose agent says that it answers is asked by an envelope without payload. An agent that knows all flows of its backend server says yes or no; another one, or one whose flow is only half open, asks for the packets. The balancer holds up to 16 packets of a flow meanwhile and sends them to the owner in their order, so that a packet is one round trip later than before and none is lost. At other times searches are as before. Agents of earlier releases are not asked; fields and a kind of envelope are added.

--- a/core/lease/publish.go
+++ b/core/lease/publish.go
@@ -175,7 +175,8 @@
 func differsFromView(b *view.BackendServer, m *member) bool {
 	a := &m.announcement
 	return b.ID != m.id || b.State != m.publishedState || b.Weight != m.publishedWeight || b.Incarnation != a.Incarnation ||
-		b.Packets != a.Packets || b.Requests != a.Requests || b.Slots != a.Slots || b.Zone != a.Zone
+		b.Packets != a.Packets || b.Requests != a.Requests || b.Slots != a.Slots || b.Zone != a.Zone ||
+		b.AnswersQueries != a.AnswersQueries
 }
 
 func (r *Registry) publish(now time.Duration, s *service, ids []string) *view.View {
@@ -223,7 +224,7 @@
 	return view.BackendServer{
 		ID: m.id, Zone: a.Zone, Incarnation: a.Incarnation, Packets: a.Packets, Requests: a.Requests,
 		Slots: a.Slots, State: m.publishedState, Weight: m.publishedWeight,
-		FirstAccepting: m.firstAccepting, AcceptingSince: m.acceptingSince,
+		FirstAccepting: m.firstAccepting, AcceptingSince: m.acceptingSince, AnswersQueries: a.AnswersQueries,
 	}
 }
 
--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -83,6 +83,9 @@
 	// OwnerKnown is set if To is the cached owner rather than the target of a probe
 	// or of a placement. The owner may not have confirmed the flow yet.
 	OwnerKnown bool
+	// Query is set if the member is to be asked whether it owns the flow, and the segment
+	// to be held until it does.
+	Query bool
 }
 
 // Balancer decides about the segments of callers. It is safe for concurrent use.
@@ -221,7 +224,10 @@
 	}
 	switch {
 	case next.member != nil:
-		return Decision{Verdict: Forward, Reason: ReasonSearched, To: next.member.peer, Service: next.member.service, Hops: next.hops}
+		return Decision{
+			Verdict: Forward, Reason: ReasonSearched, To: next.member.peer, Service: next.member.service, Hops: next.hops,
+			Query: next.member.expectsLostFlows(),
+		}
 	case !b.IsConfigConfirmed():
 		return Decision{Verdict: Drop, Reason: ReasonConfigUnconfirmed}
 	case !t.hasCompleteViews(id.Key, s.Tuple.Service):
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -35,6 +35,8 @@
 	// firstAccepting and acceptingSince are those of that view, see view.BackendServer.
 	listedIn                       view.Version
 	firstAccepting, acceptingSince uint64
+	// answersQueries is set if the member's agent answers queries.
+	answersQueries bool
 	// isGone is set if the view lists the member in state view.Gone.
 	isGone bool
 	// removedAt is when the member was removed from its view; 0 while it is listed.
@@ -105,7 +107,7 @@
 		listed = append(listed, member{
 			peer: flow.PeerOf(v, i), service: v.Service, id: b.ID, zone: b.Zone,
 			weight: b.Weight, slots: max(b.Slots, 1), acceptsNew: b.AcceptsNewFlows(), isGone: b.State == view.Gone,
-			listedIn: v.Version, firstAccepting: b.FirstAccepting, acceptingSince: b.AcceptingSince,
+			listedIn: v.Version, firstAccepting: b.FirstAccepting, acceptingSince: b.AcceptingSince, answersQueries: b.AnswersQueries,
 		})
 	}
 	return listed
@@ -322,3 +324,12 @@
 	}
 	return len(t.routes) > 0
 }
+
+// Peer returns the member with a hash seed; false if the table has none.
+func (t *Table) Peer(service view.ServiceID, seed uint64) (flow.Peer, bool) {
+	m := t.findMember(service, seed)
+	if m == nil {
+		return flow.Peer{}, false
+	}
+	return m.peer, true
+}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -92,6 +92,8 @@
 	// place new flows on the backend server, in whatever incarnation. It is 0 if this
 	// view does not.
 	AcceptingSince uint64 `cbor:"10,keyasint,omitempty"`
+	// AnswersQueries is that of the agent's announcement.
+	AnswersQueries bool `cbor:"15,keyasint,omitempty"`
 }
 
 // AcceptsNewFlows reports whether new flows may be placed on b.
@@ -262,6 +264,9 @@
 	// Unlisted is set while no view can have listed this incarnation, so that no flow
 	// was placed on it.
 	Unlisted bool `cbor:"17,keyasint,omitempty"`
+	// AnswersQueries is set if the agent tells whether its backend server owns a flow
+	// without a packet of the flow.
+	AnswersQueries bool `cbor:"23,keyasint,omitempty"`
 }
 
 // Load is the load by which agents place new flows: the number of flows that an agent
--- a/internal/packet/header.go
+++ b/internal/packet/header.go
@@ -23,6 +23,9 @@
 	// balancer that forwarded it.
 	Return       Kind = 4
 	Notification Kind = 5 // agent to balancer: a CBOR message about a flow's owner or the load
+	// Query asks an agent whether its backend server owns a flow. It has no payload, like
+	// the Return that says no; a Notification says yes, or asks for the packets.
+	Query Kind = 6
 )
 
 // Header is the header of an envelope.
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -162,7 +162,12 @@
 
 // receiveEnvelope handles an envelope from a balancer.
 func (a *Agent) receiveEnvelope(h *packet.Header, payload []byte) {
-	if h.Kind != packet.Forward {
+	switch h.Kind {
+	case packet.Forward:
+	case packet.Query:
+		a.answerQuery(h)
+		return
+	default:
 		a.counters.rejectedEnvelopes.Add(1)
 		return
 	}
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -169,6 +169,6 @@
 		Incarnation: view.Incarnation(a.report.Incarnation), Packets: a.conn.Addr(), Requests: a.conn.Addr(),
 		Slots: a.report.Slots, Draining: a.report.Draining || isDown, Healthy: !isDown,
 		Sequence: a.report.Sequence<<announcementBits + a.announcementCount, Load: load.RunningRequests, Flows: load.Flows, BackendTracksFlows: true, BackendDown: isDown,
-		Unlisted: !a.isAnnounced && a.steer.IsUnused(),
+		Unlisted: !a.isAnnounced && a.steer.IsUnused(), AnswersQueries: true,
 	}, true
 }
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -80,6 +80,7 @@
 	placementTimes startTimes
 	searchPackets  packetBuffer
 	parked         packetBuffer
+	held           heldPackets
 	phases         *phases.Tracker
 
 	mu             sync.RWMutex
@@ -98,7 +99,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{
 		options: o, router: routing.NewBalancer(o.Zone), callers: callers, envelopeSocket: sockets, counters: counts, started: o.Now(), cancel: cancel,
-		pool: newPool(o.CommonOptions), decisionCounters: newDecisionCounters(), placementTimes: newStartTimes(), searchPackets: newPacketBuffer(searchPacketTime), parked: newPacketBuffer(maxParkedTime), phases: newBalancerPhases(o.CommonOptions),
+		pool: newPool(o.CommonOptions), decisionCounters: newDecisionCounters(), placementTimes: newStartTimes(), searchPackets: newPacketBuffer(searchPacketTime), parked: newPacketBuffer(maxParkedTime), held: newHeldPackets(), phases: newBalancerPhases(o.CommonOptions),
 		configVersions: make(map[view.ServiceID]view.Version), services: make(map[string]proto.Service),
 	}
 	b.tasks.Go(func() { b.readDatagrams(b.callers, b.receiveFromCaller) })
@@ -229,6 +230,7 @@
 	now := b.elapsed()
 	b.searchPackets.removeExpired(now)
 	b.parked.removeExpired(now)
+	b.held.removeExpired(now)
 	for _, id := range b.router.OverdueSearches(now) {
 		packet := b.searchPackets.get(id)
 		if packet == nil {
@@ -257,12 +259,21 @@
 }
 
 func (b *Balancer) handleReturn(h *packet.Header, payload []byte) {
+	b.decisionCounters.returned.Add(1)
+	if len(payload) == 0 {
+		b.handleQueryReturn(h)
+		return
+	}
+	b.continueAfterReturn(h, payload)
+}
+
+// continueAfterReturn decides about a packet whose flow a member does not own.
+func (b *Balancer) continueAfterReturn(h *packet.Header, payload []byte) {
 	header, err := b.options.Codec.Decode(payload, FromCaller)
 	if err != nil || h.Flow.NonOwnerCount == 0 {
 		b.counters.malformedPackets.Add(1)
 		return
 	}
-	b.decisionCounters.returned.Add(1)
 	now := b.elapsed()
 	decision := b.router.HandleReturn(now, &header.Segment, routing.ReturnInfo{
 		Service: h.Flow.Service, Seed: h.Flow.NonOwners[0], Hops: h.Flow.Hops, BackendDown: h.Flow.PointerRequested,
@@ -281,12 +292,16 @@
 	now := b.elapsed()
 	b.router.ReportLoad(now, n.Service, n.Seed, n.Load)
 	b.phases.End(phaseFirstLoad)
+	id := h.Flow.Tuple.ID()
+	if n.NeedsPacket {
+		b.release(id, &n)
+	}
 	if !n.OwnsFlow {
 		return
 	}
-	id := h.Flow.Tuple.ID()
 	b.router.ConfirmOwner(now, id, n.Service, n.Seed)
 	b.phases.End(phaseFirstOwned)
+	b.release(id, &n)
 	b.searchPackets.remove(id)
 	if placementTime, ok := b.placementTimes.take(id); ok {
 		b.placementLatency.Add(now - placementTime)
@@ -305,8 +320,9 @@
 		case d.Reason == routing.ReasonSearched:
 			b.searchPackets.put(now, s.Tuple.ID(), payload)
 		}
-		b.forward(s, d, payload)
+		b.probe(now, s, d, payload)
 	case routing.Reset:
+		b.held.take(s.Tuple.ID()) // dropped: the flow is lost
 		b.sendReset(s)
 	}
 	if d.Verdict != routing.Forward {
--- a/internal/segment/dump.go
+++ b/internal/segment/dump.go
@@ -32,7 +32,7 @@
 // Counters returns the counts of the role.
 func (b *Balancer) Counters() any {
 	return BalancerCounters{
-		Decisions: b.decisionCounters.countsByReason(), Returned: b.decisionCounters.returned.Load(), Resets: b.decisionCounters.resets.Load(),
+		Decisions: b.decisionCounters.countsByReason(), Returned: b.decisionCounters.returned.Load(), Queries: b.decisionCounters.queries.Load(), Resets: b.decisionCounters.resets.Load(),
 		Notifications: b.decisionCounters.notifications.Load(), Failed: b.counters.socketErrors.Load(), Refused: b.counters.rejectedEnvelopes.Load(),
 		Garbled: b.counters.malformedPackets.Load(), CachedFlows: b.router.CachedFlows(), PlacementLatency: b.placementLatency.Summary(), Start: b.phases.Ended(),
 	}
--- a/internal/segment/envelope.go
+++ b/internal/segment/envelope.go
@@ -30,6 +30,9 @@
 	// OwnsFlow is set if the agent's backend server owns the flow of the envelope's
 	// header.
 	OwnsFlow bool `cbor:"4,keyasint,omitempty"`
+	// NeedsPacket is set if only the backend server can tell whether it owns the flow: the
+	// answer to a query that asks for the packets.
+	NeedsPacket bool `cbor:"9,keyasint,omitempty"`
 }
 
 // envelopeSocket is the socket between balancers and agents.
--- a/internal/segment/metrics.go
+++ b/internal/segment/metrics.go
@@ -20,6 +20,7 @@
 	// Decisions counts segments by the reason of the decision.
 	Decisions     map[string]uint64 `json:"decisions"`
 	Returned      uint64            `json:"returned"`
+	Queries       uint64            `json:"queries"`
 	Resets        uint64            `json:"resets"`
 	Notifications uint64            `json:"notes"`
 	Failed        uint64            `json:"failed"`
@@ -37,6 +38,7 @@
 type decisionCounters struct {
 	byReason      []atomic.Uint64
 	returned      atomic.Uint64
+	queries       atomic.Uint64
 	resets        atomic.Uint64
 	notifications atomic.Uint64
 }
