--- a/internal/segment/held.go
+++ b/internal/segment/held.go
@@ -12,7 +12,7 @@
 const (
 	// maxHeldFlows bounds the flows with held packets, maxHeldPackets the packets of one:
 	// a caller has no more on their way.
-	maxHeldFlows   = 1024
+	maxHeldFlows   = 512
 	maxHeldPackets = 16
 	// maxHeldTime is how long packets are held after the latest query.
 	maxHeldTime = 2 * time.Second
