--- a/internal/replicalink/sender.go
+++ b/internal/replicalink/sender.go
@@ -90,7 +90,7 @@
 // the protocol retransmits.
 func (s *sender) write(out *outgoingStream, batch []quorum.Message) {
 	now := s.link.options.Now()
-	if out.stream != nil && now.Sub(later(out.openedAt, s.link.lastReceivedAt(s.addr))) > unresponsiveTimeout {
+	if out.stream != nil && s.isDead(out, now) {
 		s.closeStream(out)
 		out.needsReplacementConn = true
 	}
@@ -103,6 +103,12 @@
 	}
 }
 
+// isDead reports whether the process at addr has restarted since the stream was opened,
+// or nothing was received from it for unresponsiveTimeout.
+func (s *sender) isDead(out *outgoingStream, now time.Time) bool {
+	return out.openedAt.Before(s.link.runStartedAt(s.addr)) || now.Sub(later(out.openedAt, s.link.lastReceivedAt(s.addr))) > unresponsiveTimeout
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -152,7 +158,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := stream.Send(Hello{From: s.link.options.Self}); err != nil {
+	if err := stream.Send(s.link.newHello()); err != nil {
 		stream.Abort()
 		return nil, err
 	}
--- a/internal/role/control/dump.go
+++ b/internal/role/control/dump.go
@@ -9,6 +9,7 @@
 	"fulmarmount.org/core/fleet"
 	"fulmarmount.org/core/lease"
 	"fulmarmount.org/core/view"
+	"fulmarmount.org/fulmarmount/internal/phases"
 	"fulmarmount.org/fulmarmount/internal/proto"
 )
 
@@ -56,14 +57,20 @@
 	Views         uint64 `json:"views"`
 	// EvacuatedSince has the evacuated zones and when an operator ordered it.
 	EvacuatedSince map[string]time.Time `json:"evacuated_since,omitempty"`
+	// Start tells when the phases of the process's start have ended, Term those of its
+	// term as the leader.
+	Start []phases.Phase `json:"start,omitempty"`
+	Term  []phases.Phase `json:"term,omitempty"`
 }
 
 // Counters returns the counts since the process came to lead.
 func (c *Control) Counters() any {
 	if t := c.current(); t != nil {
-		return t.counters()
+		counters := t.counters()
+		counters.Start = c.phases.Ended()
+		return counters
 	}
-	return Counters{}
+	return Counters{Start: c.phases.Ended()}
 }
 
 func (c *term) counters() Counters {
@@ -72,7 +79,7 @@
 	s := c.registry.Stats()
 	return Counters{
 		Members: s.Members, Announcements: s.Announcements, Replayed: s.ReplayedAnnouncements, Invalid: s.InvalidAnnouncements,
-		Lapses: s.ExpiredLeases, Spared: s.SkippedEjections, Views: s.PublishedViews,
+		Lapses: s.ExpiredLeases, Spared: s.SkippedEjections, Views: s.PublishedViews, Term: c.phases.Ended(),
 		EvacuatedSince: c.configuration.evacuatedSince(),
 	}
 }
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -77,6 +77,7 @@
 	a.steer.SetWarmup(a.elapsed(), r.WarmupRemaining)
 	a.steer.SetSlots(int(r.Slots))
 	a.reports.Add(1)
+	a.phases.End(phaseBackendReported)
 	if hasChanged {
 		a.options.Log.Info("Backend server's state changed.", zap.String("id", r.ID), zap.String("service", r.Service),
 			zap.Uint64("run", r.Incarnation), zap.Stringer("standing", state), zap.Duration("warming", r.WarmupRemaining))
@@ -154,6 +155,7 @@
 	defer a.mu.Unlock()
 	if reply.Accepted && announcement.Incarnation == view.Incarnation(a.report.Incarnation) {
 		a.isAnnounced = true
+		a.phases.End(phaseAnnounced)
 	}
 }
 
@@ -174,6 +176,6 @@
 		Incarnation: view.Incarnation(a.report.Incarnation), Packets: a.conn.Addr(), Requests: a.conn.Addr(),
 		Slots: a.report.Slots, Draining: a.report.Draining || isDown, Healthy: !isDown && !a.fitness.isAnnouncedUnfit,
 		Sequence: a.report.Sequence<<announcementBits + a.announcementCount, Load: load.RunningRequests, Flows: load.Flows, BackendTracksFlows: true, BackendDown: isDown,
-		Unlisted: !a.isAnnounced && a.steer.IsUnused(),
+		Unlisted: !a.isAnnounced && a.steer.IsUnused(), AnswersQueries: true,
 	}, true
 }
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -18,6 +18,7 @@
 	"fulmarmount.org/fulmarmount/internal/pace"
 	"fulmarmount.org/fulmarmount/internal/packet"
 	"fulmarmount.org/fulmarmount/internal/peer"
+	"fulmarmount.org/fulmarmount/internal/phases"
 	"fulmarmount.org/fulmarmount/internal/proto"
 	"fulmarmount.org/fulmarmount/internal/subscribe"
 	"fulmarmount.org/fulmarmount/internal/udp"
@@ -79,6 +80,9 @@
 	// placementTimes holds the times at which flows were first forwarded.
 	placementTimes startTimes
 	searchPackets  packetBuffer
+	parked         packetBuffer
+	held           heldPackets
+	phases         *phases.Tracker
 
 	mu             sync.RWMutex
 	configVersions map[view.ServiceID]view.Version
@@ -96,7 +100,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{
 		options: o, router: routing.NewBalancer(o.Zone), callers: callers, envelopeSocket: sockets, counters: counts, started: o.Now(), cancel: cancel,
-		pool: newPool(o.CommonOptions), decisionCounters: newDecisionCounters(), refusals: newRefusalLog(), placementTimes: newStartTimes(), searchPackets: newPacketBuffer(),
+		pool: newPool(o.CommonOptions), decisionCounters: newDecisionCounters(), refusals: newRefusalLog(), placementTimes: newStartTimes(), searchPackets: newPacketBuffer(searchPacketTime), parked: newPacketBuffer(maxParkedTime), held: newHeldPackets(), phases: newBalancerPhases(o.CommonOptions),
 		configVersions: make(map[view.ServiceID]view.Version), services: make(map[string]proto.Service),
 	}
 	b.tasks.Go(func() { b.readDatagrams(b.callers, b.receiveFromCaller) })
@@ -145,6 +149,8 @@
 		b.options.Log.Info("Control confirmed that the configuration is current.", zap.Time("as_of", asOf))
 	}
 	b.router.ConfirmConfig()
+	b.phases.End(phaseConfirmed)
+	b.unpark()
 }
 
 // applyUpdate activates an update.
@@ -162,6 +168,8 @@
 			zap.Stringer("version", v.Version), zap.Int("members", len(v.Members)), zap.Int("targets", len(v.Targets())))
 	}
 	b.router.SetTable(table)
+	b.endViewPhases(u, table)
+	b.unpark()
 }
 
 func (b *Balancer) setServices(u proto.Update) {
@@ -210,6 +218,8 @@
 func (b *Balancer) resumeSearches() {
 	now := b.elapsed()
 	b.searchPackets.removeExpired(now)
+	b.parked.removeExpired(now)
+	b.held.removeExpired(now)
 	for _, id := range b.router.OverdueSearches(now) {
 		packet := b.searchPackets.get(id)
 		if packet == nil {
@@ -238,12 +248,21 @@
 }
 
 func (b *Balancer) handleReturn(h *packet.Header, payload []byte) {
+	b.decisionCounters.returned.Add(1)
+	if len(payload) == 0 {
+		b.handleQueryReturn(h)
+		return
+	}
+	b.continueAfterReturn(h, payload)
+}
+
+// continueAfterReturn decides about a packet whose flow a member does not own.
+func (b *Balancer) continueAfterReturn(h *packet.Header, payload []byte) {
 	header, err := b.options.Codec.Decode(payload, FromCaller)
 	if err != nil || h.Flow.NonOwnerCount == 0 {
 		b.counters.malformedPackets.Add(1)
 		return
 	}
-	b.decisionCounters.returned.Add(1)
 	now := b.elapsed()
 	decision := b.router.HandleReturn(now, &header.Segment, routing.ReturnInfo{
 		Service: h.Flow.Service, Seed: h.Flow.NonOwners[0], Hops: h.Flow.Hops, BackendDown: h.Flow.PointerRequested,
@@ -261,11 +280,17 @@
 	b.decisionCounters.notifications.Add(1)
 	now := b.elapsed()
 	b.router.ReportLoad(now, n.Service, n.Seed, n.Load)
+	b.phases.End(phaseFirstLoad)
+	id := h.Flow.Tuple.ID()
+	if n.NeedsPacket {
+		b.release(id, &n)
+	}
 	if !n.OwnsFlow {
 		return
 	}
-	id := h.Flow.Tuple.ID()
 	b.router.ConfirmOwner(now, id, n.Service, n.Seed)
+	b.phases.End(phaseFirstOwned)
+	b.release(id, &n)
 	b.searchPackets.remove(id)
 	if placementTime, ok := b.placementTimes.take(id); ok {
 		b.placementLatency.Add(now - placementTime)
@@ -275,6 +300,7 @@
 // execute carries out a decision about a segment.
 func (b *Balancer) execute(now time.Duration, s *routing.Segment, d routing.Decision, payload []byte) {
 	b.decisionCounters.byReason[d.Reason].Add(1)
+	b.endDecisionPhases(d)
 	switch d.Verdict {
 	case routing.Forward:
 		switch {
@@ -283,13 +309,15 @@
 		case d.Reason == routing.ReasonSearched:
 			b.searchPackets.put(now, s.Tuple.ID(), payload)
 		}
-		b.forward(s, d, payload)
+		b.probe(now, s, d, payload)
 	case routing.Reset:
+		b.held.take(s.Tuple.ID()) // dropped: the flow is lost
 		b.sendReset(s)
 	}
 	if d.Verdict != routing.Forward {
 		b.searchPackets.remove(s.Tuple.ID())
 	}
+	b.park(now, s, d, payload)
 	if d.Refused != nil {
 		b.refusals.record(now, b.options.Log, s, d)
 		return
--- a/internal/segment/dump.go
+++ b/internal/segment/dump.go
@@ -39,6 +39,7 @@
 		Decisions: b.decisionCounters.countsByReason(), RefusedFlows: b.refusals.counts(), Returned: b.decisionCounters.returned.Load(), Resets: b.decisionCounters.resets.Load(),
 		Notifications: b.decisionCounters.notifications.Load(), Failed: b.counters.socketErrors.Load(), Refused: b.counters.rejectedEnvelopes.Load(),
 		Garbled: b.counters.malformedPackets.Load(), CachedFlows: b.router.CachedFlows(), ColdMembers: b.router.ColdMembers(b.elapsed()), PlacementLatency: b.placementLatency.Summary(),
+		Queries: b.decisionCounters.queries.Load(), Start: b.phases.Ended(),
 	}
 }
 
@@ -77,5 +78,6 @@
 		Refused: a.counters.rejectedEnvelopes.Load(), Garbled: a.counters.malformedPackets.Load(),
 		Flows: load.Flows, RunningRequests: load.RunningRequests, ResponseLatency: a.responseLatency.Summary(),
 		ServiceTime: load.ServiceTime, Unfitness: uint8(judgement.Unfitness),
+		Start: a.phases.Ended(),
 	}
 }
--- a/internal/segment/metrics.go
+++ b/internal/segment/metrics.go
@@ -5,6 +5,7 @@
 
 	"fulmarmount.org/core/routing"
 	"fulmarmount.org/fulmarmount/internal/histogram"
+	"fulmarmount.org/fulmarmount/internal/phases"
 )
 
 // counters are the counters of both roles.
@@ -29,15 +30,20 @@
 	CachedFlows   int                          `json:"flows"`
 	// ColdMembers is the number of backend servers that have reported to be cold.
 	ColdMembers int `json:"cold"`
+	// Queries counts the questions to members whether they own a flow.
+	Queries uint64 `json:"queries"`
 	// PlacementLatency is the time from the first SYN to the notification of the
 	// flow's owner.
 	PlacementLatency histogram.Summary `json:"placing"`
+	// Start tells when the phases of the start have ended.
+	Start []phases.Phase `json:"start"`
 }
 
 // decisionCounters counts the decisions of a balancer.
 type decisionCounters struct {
 	byReason      []atomic.Uint64
 	returned      atomic.Uint64
+	queries       atomic.Uint64
 	resets        atomic.Uint64
 	notifications atomic.Uint64
 }
@@ -84,4 +90,6 @@
 	ServiceTime uint32 `json:"service_time"`
 	// Unfitness is the agent's judgement: 0 fit, 1 hung, 2 failing.
 	Unfitness uint8 `json:"unfitness"`
+	// Start tells when the phases of the start have ended.
+	Start []phases.Phase `json:"start"`
 }
