Check the new flows of cold backend servers in the soak

The check counts over the whole cold time, so that it does not depend on the speed of the machine. It is on where the templates pass the bounds on.

--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -194,6 +194,7 @@
 		"listen.datagram_address": f.port(p.addr, portPackets).String(), "listen.ready": f.port(p.addr, portReady).String(),
 		"listen.control": f.port(p.addr, portOperators).String(), "listen.outbound": f.port(p.addr, portOutbound).String(),
 		"app": f.port(p.addr, portBackend).String(), "service": p.service, "fault_tolerance.machines": "1",
+		"bounds.warmup_overshoot": "1.5", "bounds.warmup_slack": fmt.Sprint(coldFlowLimit),
 	}
 	rendered := section.ReplaceAllStringFunc(string(text), func(match string) string {
 		parts := section.FindStringSubmatch(match)
@@ -210,6 +211,13 @@
 	}), nil
 }
 
+// limitsColdServers reports whether the templates pass on the bounds of cold backend
+// servers.
+func (f *fleet) limitsColdServers() bool {
+	text, err := os.ReadFile(filepath.Join(f.root, "deploy", "control.ini"))
+	return err == nil && strings.Contains(string(text), "{{bounds.warmup_slack}}")
+}
+
 // start starts a process. The log of all its lives is one file.
 func (f *fleet) start(p *process, bootstrap bool) error {
 	text, err := f.settings(p, bootstrap)
--- a/tools/soak/operator.go
+++ b/tools/soak/operator.go
@@ -94,7 +94,7 @@
 	}
 	b, _ := json.Marshal(map[string]any{ // plain values can be encoded
 		"version": d.number, "routes": routes, "limits": map[string]int{"idle_timeout_ms": 15000},
-		"services": []map[string]string{{"name": "desk"}, {"name": "hall"}},
+		"services": []map[string]any{{"name": "desk", "warmup_s": coldTime.Seconds(), "warmup_per_s": 0}, {"name": "hall", "warmup_s": coldTime.Seconds(), "warmup_per_s": 0}},
 	})
 	return string(b)
 }
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -44,6 +44,7 @@
 		return nil, err
 	}
 	w := newWorld(o.slack)
+	w.limitsCold = f.limitsColdServers()
 	f.onEnd = func(p *process, state string) {
 		w.report("processes do not end by themselves", "%s ended: %s", p.name, state)
 	}
--- a/tools/soak/server.go
+++ b/tools/soak/server.go
@@ -20,6 +20,8 @@
 	// coldTime is how long a backend server is slow after its start, by coldFactor.
 	coldTime   = 3 * time.Second
 	coldFactor = 3
+	// coldFlowLimit is the number of new flows that a cold one takes in a second.
+	coldFlowLimit = 5
 	slowFactor = 10
 )
 
@@ -51,6 +53,7 @@
 	draining    bool
 	drainAcked  time.Time
 	sequence    int
+	coldFlows   int // new flows of the incarnation while it was cold
 	waiting     int
 	flows       map[tuple]*serverFlow
 	closed      map[tuple]bool
@@ -79,7 +82,7 @@
 		s.id = fmt.Sprintf("i-%s-%d", s.name, s.incarnation)
 	}
 	s.born, s.alive, s.hanging, s.slow, s.draining, s.drainAcked, s.sequence = time.Now(), true, false, false, false, time.Time{}, 0
-	s.waiting, s.flows, s.closed = 0, map[tuple]*serverFlow{}, map[tuple]bool{}
+	s.waiting, s.coldFlows, s.flows, s.closed = 0, 0, map[tuple]*serverFlow{}, map[tuple]bool{}
 }
 
 // die ends the incarnation without a word.
@@ -174,10 +177,15 @@
 		s.flows[t] = f
 		delete(s.closed, t)
 	}
-	drainAcked := s.drainAcked
+	drainAcked, age := s.drainAcked, time.Since(s.born)
+	if isNew && age < coldTime {
+		s.coldFlows++
+	}
+	coldFlows := s.coldFlows
 	s.mu.Unlock()
 	if isNew {
 		s.w.tookSYN(s, t, drainAcked)
+		s.w.tookCold(s, coldFlows, age)
 	}
 	out := packet{flags: flagSYN | flagACK, src: t.service, dst: t.caller, seq: f.isn, ack: p.seq + 1}
 	return [][]byte{out.encode()}
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -77,6 +77,8 @@
 			w.disturb("balancer-0")()
 			w.reset(flow, "balancer-0")
 		}, 0},
+		{"flows to a cold server", func(w *world, s *server) { w.tookCold(s, 20, time.Second) }, 0},
+		{"too many flows to a cold server", func(w *world, s *server) { w.tookCold(s, 26, time.Second) }, 1},
 		{"newest document", func(w *world, _ *server) { w.readBack("control-0", 2, 2, "two") }, 0},
 		{"older document", func(w *world, _ *server) { w.readBack("control-0", 2, 1, "one") }, 1},
 		{"other content", func(w *world, _ *server) { w.readBack("control-0", 2, 2, "one") }, 1},
@@ -84,7 +86,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			w := newWorld(1)
-			w.start = w.start.Add(old)
+			w.start, w.limitsCold = w.start.Add(old), true
 			desk := map[netip.AddrPort][]string{flow.service: {"desk"}}
 			w.documents = []*document{{number: 1, body: "one", services: desk}, {number: 2, body: "two", services: desk}}
 			s := &server{w: w, name: "server-0", agent: "agent-0", zone: zoneName(0), service: "desk"}
--- a/tools/soak/world.go
+++ b/tools/soak/world.go
@@ -68,6 +68,8 @@
 type world struct {
 	slack float64
 	start time.Time
+	// limitsCold is set if the fleet is told a limit for cold backend servers.
+	limitsCold bool
 
 	mu          sync.Mutex
 	violations  []violation
@@ -253,6 +255,20 @@
 	}
 }
 
+// tookCold judges the number of new flows of a backend server since its start, at an
+// age. The count over the whole time does not depend on when packets arrive.
+func (w *world) tookCold(s *server, flows int, age time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.limitsCold || age > coldTime || !w.allCalm(age, s.agent) {
+		return
+	}
+	w.counts["new flows at cold backend servers"]++
+	if most := coldFlowLimit * (int(coldTime.Seconds()) + 2); flows > most {
+		w.fail("a cold backend server gets few new flows", "%s took %d in its first %.1f s, where %d are at most %d seconds' worth", s.name, flows, age.Seconds(), most, most/coldFlowLimit)
+	}
+}
+
 // opened records that a backend server has the end of a flow's handshake.
 func (w *world) opened(s *server, t tuple, incarnation int) {
 	w.mu.Lock()
