--- a/tools/soak/server.go
+++ b/tools/soak/server.go
@@ -22,7 +22,7 @@
 	coldFactor = 3
 	// coldFlowLimit is the number of new flows that a cold one takes in a second.
 	coldFlowLimit = 5
-	slowFactor = 10
+	slowFactor    = 10
 )
 
 // serverFlow is a flow at a backend server.
