--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -72,7 +72,7 @@
 			Served: w.served(f.from-2*time.Second, f.to+2*time.Second),
 		})
 	}
-	svg, err := w.plot()
+	svg, err := w.svg()
 	if err != nil {
 		return "", err
 	}
@@ -101,9 +101,43 @@
 	return fmt.Sprintf("%d of %d", ok, all)
 }
 
-// plot returns the SVG of outcomes by time.
-func (w *world) plot() (string, error) {
-	var answered, failed plotter.XYs
+// svg returns the chart as text.
+func (w *world) svg() (string, error) {
+	p, err := w.chart()
+	if err != nil {
+		return "", errs.NewType("report").Wrap(err, "cannot draw the chart")
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	_, err = canvas.WriteTo(&b)
+	return b.String(), err
+}
+
+// chart plots outcomes by time, with the beginnings of the faults.
+func (w *world) chart() (*plot.Plot, error) {
+	answered, failed := w.buckets()
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text, p.Y.Min = "s", "attempts", 0
+	if err := w.addFaults(p, answered); err != nil {
+		return nil, err
+	}
+	for _, series := range []struct {
+		points plotter.XYs
+		color  color.Color
+	}{{answered, color.RGBA{B: 200, A: 255}}, {failed, color.RGBA{R: 200, A: 255}}} {
+		line, err := plotter.NewLine(series.points)
+		if err != nil {
+			return nil, err
+		}
+		line.Color = series.color
+		p.Add(line)
+	}
+	return p, nil
+}
+
+// buckets counts outcomes by when their attempts began.
+func (w *world) buckets() (answered, failed plotter.XYs) {
 	for _, s := range w.samples {
 		i := int(s.at / bucket)
 		for len(answered) <= i {
@@ -116,40 +150,30 @@
 			failed[i].Y++
 		}
 	}
-	p := plot.New()
-	p.X.Label.Text, p.Y.Label.Text, p.Y.Min = "s", "attempts", 0
+	return answered, failed
+}
+
+// addFaults marks and numbers the beginnings of the faults.
+func (w *world) addFaults(p *plot.Plot, answered plotter.XYs) error {
 	top := 1.0
 	for _, v := range answered {
 		top = max(top, v.Y)
 	}
-	labels := plotter.XYLabels{}
+	var labels plotter.XYLabels
 	for i, f := range w.faultRecord {
 		x := f.from.Seconds()
 		mark, err := plotter.NewLine(plotter.XYs{{X: x}, {X: x, Y: top}})
 		if err != nil {
-			return "", errs.NewType("report").Wrap(err, "mark")
+			return err
 		}
 		mark.Color = color.Gray{Y: 200}
 		p.Add(mark)
-		labels.XYs, labels.Labels = append(labels.XYs, plotter.XY{X: x, Y: top * (1 + 0.04*float64(i%3))}), append(labels.Labels, fmt.Sprint(i+1))
-	}
-	for _, series := range []struct {
-		points plotter.XYs
-		color  color.Color
-	}{{answered, color.RGBA{B: 200, A: 255}}, {failed, color.RGBA{R: 200, A: 255}}} {
-		line, err := plotter.NewLine(series.points)
-		if err != nil {
-			return "", errs.NewType("report").Wrap(err, "plot")
-		}
-		line.Color = series.color
-		p.Add(line)
+		labels.XYs = append(labels.XYs, plotter.XY{X: x, Y: top * (1 + 0.06*float64(i%3))})
+		labels.Labels = append(labels.Labels, fmt.Sprint(i+1))
 	}
-	if numbers, err := plotter.NewLabels(labels); err == nil {
+	numbers, err := plotter.NewLabels(labels)
+	if err == nil {
 		p.Add(numbers)
 	}
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
-	var b bytes.Buffer
-	_, err := canvas.WriteTo(&b)
-	return b.String(), err
+	return err
 }
