--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -113,12 +114,36 @@
 	}
 }
 
+// Listening ports are below those that the kernel gives to sockets without one, so that
+// no such socket can hold the port of a process that restarts.
+const (
+	lowestPort  = 20_000
+	highestPort = 32_000
+	portTries   = 100
+)
+
+// freePort returns a port that is free for TCP and UDP on all addresses.
 func freePort() (uint16, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	for range portTries {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		if isFree(fmt.Sprint(":", port)) {
+			return uint16(port), nil
+		}
+	}
+	return 0, errProcess.New("none of %d ports is free", portTries)
+}
+
+func isFree(addr string) bool {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = l.Close() }()
+	conn, err := net.ListenPacket("udp4", addr)
 	if err != nil {
-		return 0, errProcess.Wrap(err, "no free port")
+		return false
 	}
-	return l.Addr().(*net.TCPAddr).AddrPort().Port(), l.Close()
+	return conn.Close() == nil
 }
 
 func (f *fleet) build() error {
@@ -297,7 +322,7 @@
 	f.hold(p)
 }
 
-// stopAll kills every process and waits for its end.
+// stopAll kills every process, waits for its end and removes the programs.
 func (f *fleet) stopAll() {
 	var ends []<-chan struct{}
 	for _, p := range f.processes {
@@ -312,4 +337,5 @@
 		<-done
 	}
 	close(f.spawn)
+	_ = os.RemoveAll(filepath.Join(f.folder, "target")) // programs and keys; what is left is harmless
 }
