--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -153,9 +153,7 @@
 	if len(w.violations) > 0 {
 		printSchedule(seed, length)
 		fmt.Printf("logs: %s/*.log\n", folder)
-		for _, v := range w.violations[:min(len(w.violations), 20)] {
-			fmt.Println("broken:", v)
-		}
+		printViolations(w.violations)
 	}
 	return len(w.violations) == 0, nil
 }
@@ -167,6 +165,21 @@
 	}
 }
 
+// shownOfEach is the number of printed violations of one promise; the report has all.
+const shownOfEach = 5
+
+func printViolations(violations []violation) {
+	seen := map[string]int{}
+	for _, v := range violations {
+		if seen[v.promise]++; seen[v.promise] <= shownOfEach {
+			fmt.Println("broken:", v)
+		}
+	}
+	for promise, n := range seen {
+		fmt.Printf("broken %d times: %s\n", n, promise)
+	}
+}
+
 // verdict returns the result of a run in one line.
 func (w *world) verdict() string {
 	w.mu.Lock()
