--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -219,7 +219,7 @@
 		"listen.datagram_address": f.port(p.addr, portPackets).String(), "listen.ready": f.port(p.addr, portReady).String(),
 		"listen.control": f.port(p.addr, portOperators).String(), "listen.outbound": f.port(p.addr, portOutbound).String(),
 		"app": f.port(p.addr, portBackend).String(), "service": p.service, "fault_tolerance.machines": "1",
-		"bounds.warmup_overshoot": "1.5", "bounds.warmup_slack": fmt.Sprint(coldFlowLimit),
+		"bounds.warmup_overshoot": "1", "bounds.warmup_slack": fmt.Sprint(coldFlowLimit - coldRequestRate),
 	}
 	rendered := section.ReplaceAllStringFunc(string(text), func(match string) string {
 		parts := section.FindStringSubmatch(match)
--- a/tools/soak/operator.go
+++ b/tools/soak/operator.go
@@ -92,9 +92,12 @@
 		}
 		routes = append(routes, entry)
 	}
+	service := func(name string) map[string]any {
+		return map[string]any{"name": name, "warmup_s": coldTime.Seconds(), "warmup_per_s": coldRequestRate}
+	}
 	b, _ := json.Marshal(map[string]any{ // plain values can be encoded
 		"version": d.number, "routes": routes, "limits": map[string]int{"idle_timeout_ms": 15000},
-		"services": []map[string]any{{"name": "desk", "warmup_s": coldTime.Seconds(), "warmup_per_s": 0}, {"name": "hall", "warmup_s": coldTime.Seconds(), "warmup_per_s": 0}},
+		"services": []map[string]any{service("desk"), service("hall")},
 	})
 	return string(b)
 }
--- a/tools/soak/server.go
+++ b/tools/soak/server.go
@@ -22,6 +22,8 @@
 	coldFactor = 3
 	// coldFlowLimit is the number of new flows that a cold one takes in a second.
 	coldFlowLimit = 5
+	// coldRequestRate is what the documents say that it bears a second.
+	coldRequestRate = 2
 	slowFactor    = 10
 )
 
