--- a/tools/soak/server.go
+++ b/tools/soak/server.go
@@ -24,7 +24,7 @@
 	coldFlowLimit = 5
 	// coldRequestRate is what the documents say that it bears a second.
 	coldRequestRate = 2
-	slowFactor    = 10
+	slowFactor      = 10
 )
 
 // serverFlow is a flow at a backend server.
