--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -38,7 +38,7 @@
 }
 
 // run plays a seed's schedule and returns what was seen.
-func run(ctx context.Context, o options) (*world, error) {
+func run(parent context.Context, o options) (*world, error) {
 	f, err := newFleet(o.root, o.folder)
 	if err != nil {
 		return nil, err
@@ -53,7 +53,7 @@
 		router: &router{w: w, fleet: f, balancers: f.byRole("balancer"), inUse: f.byRole("balancer"), links: map[string]link{}},
 	}
 	defer f.stopAll()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	if err := s.start(ctx); err != nil {
 		return w, err
@@ -62,7 +62,7 @@
 	s.recover(ctx)
 	cancel()
 	s.tasks.Wait()
-	return w, nil
+	return w, parent.Err()
 }
 
 // start starts the fleet and waits until it serves.
@@ -266,12 +266,12 @@
 	defer s.close()
 	s.awaitService(ctx)
 	for _, p := range s.fleet.byRole("control") {
-		if !s.eventually(func() bool { return s.operators.readBack(ctx, p) }) {
+		if !s.eventually(ctx, func() bool { return s.operators.readBack(ctx, p) }) {
 			s.w.report("the document can be read after the last fault", "%s returns none after %s", p.name, s.w.bound(recoveryBound))
 		}
 		var listed []string
 		want := s.w.evacuated()
-		if !s.eventually(func() (ok bool) {
+		if !s.eventually(ctx, func() (ok bool) {
 			listed, ok = s.operators.evacuations(ctx, p)
 			return ok && slices.Equal(listed, want)
 		}) {
@@ -281,10 +281,11 @@
 	time.Sleep(2 * time.Second) // callers go on: their flows are judged to the end
 }
 
-// eventually polls until ok returns true, for recoveryBound at most.
-func (s *soak) eventually(ok func() bool) bool {
+// eventually polls until ok returns true, for recoveryBound at most. It gives up, and
+// returns true, when ctx ends: nothing is known then.
+func (s *soak) eventually(ctx context.Context, ok func() bool) bool {
 	for deadline := time.Now().Add(s.w.bound(recoveryBound)); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
-		if ok() {
+		if ctx.Err() != nil || ok() {
 			return true
 		}
 	}
