Hold cold backend servers' limit at agents without configuration

Cause: an agent that has started again while control cannot be reached knew no limit for its cold backend server, and balancers that knew that server went on placing flows there. A new service's agent kept the limit of the former one. The load report before such a refusal names the balancer's service, as the agent does not know it: without that the caller was reset after the last attempt. The warm-up of a report is applied before its state.

--- a/core/routing/agent.go
+++ b/core/routing/agent.go
@@ -168,14 +168,18 @@
 	SilenceTimeout time.Duration
 	// IdleTimeout is how long a flow is kept after its last segment.
 	IdleTimeout time.Duration
+	// ColdLimit is the cold limit until that of the service is known; 0 for none.
+	ColdLimit uint32
 }
 
 // NewAgent returns an Agent started at now.
 func NewAgent(now time.Duration, o AgentOptions) *Agent {
-	return &Agent{
+	a := &Agent{
 		fitness: newFitness(), silenceTimeout: o.SilenceTimeout, idleTimeout: o.IdleTimeout, startedAt: now, lastTick: now, isConfigMissing: true,
 		flows: make(map[flow.ID]*backendFlow), probes: make(map[flow.ID]receivedProbe), routedAddrs: make(map[netip.AddrPort]bool),
 	}
+	a.coldLimit.setUnconfigured(o.ColdLimit)
+	return a
 }
 
 // SetService activates a version of the service's configuration with the addresses that
@@ -196,6 +200,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.service, a.configVersion, a.isConfigMissing = 0, view.Version{}, true
+	a.coldLimit.resetLimit()
 	clear(a.routedAddrs)
 }
 
--- a/core/routing/coldlimit.go
+++ b/core/routing/coldlimit.go
@@ -19,9 +19,13 @@
 // newFlowWindow. A backend server that has just started is slow, and answers late whatever
 // it takes beyond what it bears. Only its agent sees the flows of all balancers.
 type coldLimit struct {
-	limit     int           // 0 for none
-	coldUntil time.Duration // end of the warm-up
-	latest    time.Duration // the latest time that the agent was told
+	limit int // 0 for none
+	// unconfigured is the limit while that of the service is not known; 0 for none. It
+	// answers a release and a loss of power: agents that start beside cold backend servers
+	// get flows from balancers that know them before they hear from control.
+	unconfigured int
+	coldUntil    time.Duration // end of the warm-up
+	latest       time.Duration // the latest time that the agent was told
 	// openedAt are the times of the new flows delivered within newFlowWindow, ascending.
 	openedAt []time.Duration
 }
@@ -47,6 +51,18 @@
 // isCold reports whether the limit holds at now.
 func (c *coldLimit) isCold(now time.Duration) bool { return c.limit > 0 && now < c.coldUntil }
 
+func (c *coldLimit) setUnconfigured(limit uint32) {
+	c.unconfigured = int(min(limit, maxNewFlowTimes))
+	c.limit = c.unconfigured
+}
+
+// resetLimit forgets the limit of a service, unless nothing is known to hold instead.
+func (c *coldLimit) resetLimit() {
+	if c.unconfigured > 0 {
+		c.limit = c.unconfigured
+	}
+}
+
 // SetColdLimit sets the number of new flows that a cold backend server takes in any
 // second; 0 for no limit.
 func (a *Agent) SetColdLimit(limit uint32) {
--- a/core/routing/coldlimit_test.go
+++ b/core/routing/coldlimit_test.go
@@ -88,6 +88,39 @@
 	is.Equal(a.Receive(newFlowWindow+1, syn(1), forwardInfo(5)).Refusal, RefusalNone)
 }
 
+// Balancers know a cold backend server before its restarted agent hears from control, and
+// the limit of another service says nothing about the next one.
+func TestAgentWithoutConfigurationHoldsItsOwnLimit(t *testing.T) {
+	is := is.New(t)
+	a := NewAgent(0, AgentOptions{SilenceTimeout: time.Hour, IdleTimeout: time.Hour, ColdLimit: 3})
+	a.StartIncarnation(testIncarnation, true)
+	a.SetWarmup(0, time.Hour)
+	a.SetState(BackendServing)
+	now, port := newFlowWindow, 0
+	delivered := func() (n int) {
+		for range 20 {
+			port++
+			if a.Receive(now, syn(port), forwardInfo(5)).Refusal == RefusalNone {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(delivered(), 0) // what an earlier process has delivered is not known
+	now++
+	is.Equal(delivered(), 3)
+	a.SetColdLimit(8)
+	is.Equal(delivered(), 5) // with those before
+	now += newFlowWindow + 1
+	a.ClearService()
+	is.Equal(delivered(), 3)
+	a.SetColdLimit(0) // the service has no limit
+	is.Equal(delivered(), 20)
+	a.ClearService()
+	a.SetWarmup(now, 0)
+	is.Equal(delivered(), 20) // warm
+}
+
 func seedOf(n int) uint64 { return view.SeedOf(server(n).ID) }
 
 func TestColdMembersGetWhatTheyReportToTake(t *testing.T) {
--- a/internal/node/segments.go
+++ b/internal/node/segments.go
@@ -56,7 +56,7 @@
 	s := o.Settings.Segments
 	return segment.StartAgent(segment.AgentOptions{
 		CommonOptions: common, Service: s.Service, BackendAddr: s.Backend, OutboundAddr: s.Outbound,
-		BackendSilenceTimeout: s.Patience, IdleTimeout: s.IdleTimeout,
+		BackendSilenceTimeout: s.Patience, IdleTimeout: s.IdleTimeout, ColdLimit: o.Settings.Warmup.LeastLimit(),
 	})
 }
 
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -35,6 +35,9 @@
 	BackendSilenceTimeout time.Duration
 	// IdleTimeout is the time after which an idle flow expires.
 	IdleTimeout time.Duration
+	// ColdLimit is the number of new flows that a cold backend server takes in any second
+	// until the configuration of its service is known; 0 for no limit.
+	ColdLimit uint32
 }
 
 // tickInterval is the interval at which an agent checks its timers.
@@ -93,7 +96,7 @@
 		options: o, outbound: outbound, envelopeSocket: sockets, counters: counts, started: o.Now(), pool: newPool(o.CommonOptions), requestTimes: newStartTimes(),
 		announceNow: make(chan struct{}, 1), loadReporter: newLoadReporter(), phases: newAgentPhases(o.CommonOptions),
 	}
-	a.steer = routing.NewAgent(0, routing.AgentOptions{SilenceTimeout: o.BackendSilenceTimeout, IdleTimeout: o.IdleTimeout})
+	a.steer = routing.NewAgent(0, routing.AgentOptions{SilenceTimeout: o.BackendSilenceTimeout, IdleTimeout: o.IdleTimeout, ColdLimit: o.ColdLimit})
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if o.Service != "" {
 		a.subscribe(o.Service)
@@ -193,7 +196,7 @@
 	}
 	decision := a.steer.Receive(now, &header.Segment, forwardInfo)
 	if decision.Refusal == routing.RefusalColdLimit {
-		a.reportLoad(h.ReplyTo) // first: it tells the balancer why
+		a.reportLoad(h.ReplyTo, forwardInfo.Service) // first: it tells the balancer why
 	}
 	if decision.Refusal != routing.RefusalNone {
 		a.returnSegment(&header.Segment, forwardInfo, decision.Refusal, payload)
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -73,8 +73,8 @@
 	}
 	hasChanged := r.Incarnation != previous.Incarnation || r.Draining != previous.Draining || r.Slots != previous.Slots
 	a.report, a.announcementCount = r, 0
+	a.steer.SetWarmup(a.elapsed(), r.WarmupRemaining) // before the agent accepts flows
 	a.steer.SetState(state)
-	a.steer.SetWarmup(a.elapsed(), r.WarmupRemaining)
 	a.steer.SetSlots(int(r.Slots))
 	a.reports.Add(1)
 	a.phases.End(phaseBackendReported)
--- a/internal/segment/cold_test.go
+++ b/internal/segment/cold_test.go
@@ -11,6 +11,7 @@
 	"fulmarmount.org/core/routing"
 	"fulmarmount.org/fulmarmount/internal/proto"
 	"fulmarmount.org/fulmarmount/internal/segment"
+	"fulmarmount.org/fulmarmount/internal/subscribe"
 )
 
 // testClock is a clock that stands still unless it is moved.
@@ -38,6 +39,7 @@
 	is.NoErr(agent.Stop(context.Background()))
 	options := f.agentOptions(cold)
 	options.Now = clock.now
+	f.coldAgent = options
 	agent, err := segment.StartAgent(options)
 	is.NoErr(err)
 	t.Cleanup(func() { _ = agent.Stop(context.Background()) })
@@ -83,6 +85,74 @@
 	is.True(!agent.Counters().(segment.AgentCounters).Cold)
 }
 
+// An agent that starts again while control cannot be reached knows no limit of its
+// service. Balancers that know its backend server go on placing flows there.
+func TestRestartedAgentWithoutControlHoldsItsOwnLimit(t *testing.T) {
+	is := is.New(t)
+	f, cold, agent, clock := startColdFleet(t, func(*segment.BackendReport) {})
+	c := f.newCaller()
+	openFlows(c, 1000, 1020)
+	is.NoErr(agent.Stop(context.Background()))
+	options := f.coldAgent
+	options.SessionID += 1000
+	options.ControlAddrs, options.ColdLimit = subscribe.Fixed(freeAddr(t)), testColdLimit
+	restarted, err := segment.StartAgent(options)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = restarted.Stop(context.Background()) })
+	report := cold.report(2)
+	report.WarmupRemaining = time.Hour
+	is.NoErr(restarted.HandleReport(report))
+	refused := func() uint64 {
+		return restarted.Counters().(segment.AgentCounters).Refusals[routing.RefusalColdLimit.String()]
+	}
+	port := 2000
+	tries := func() bool {
+		openFlows(c, port, port+1)
+		port++
+		return refused() > 0
+	}
+	f.waitFor("the balancer tries the restarted agent", tries)
+	is.Equal(cold.flowCount(), testColdLimit) // those of its earlier process
+	clock.advance(1100 * time.Millisecond)
+	before := refused()
+	f.waitFor("the agent refuses more than its limit", func() bool { return tries() && refused() > before })
+	is.Equal(cold.flowCount(), 2*testColdLimit)
+	is.True(!restarted.Ready())
+}
+
+// A balancer whose only backend server is refused by an agent without configuration lets
+// the caller wait, as with one that has its configuration.
+func TestCallersWaitForAgentWithoutControl(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	cold, agent := f.startBackend("host-1")
+	is.NoErr(agent.Stop(context.Background()))
+	options := f.agentOptions(cold)
+	agent, err := segment.StartAgent(options)
+	is.NoErr(err)
+	is.NoErr(agent.HandleReport(cold.report(1)))
+	f.startBalancer(1)
+	is.NoErr(agent.Stop(context.Background()))
+
+	clock := &testClock{start: time.Now()}
+	options.SessionID += 1000
+	options.Now, options.ControlAddrs, options.ColdLimit = clock.now, subscribe.Fixed(freeAddr(t)), 1
+	restarted, err := segment.StartAgent(options)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = restarted.Stop(context.Background()) })
+	report := cold.report(2)
+	report.WarmupRemaining = time.Hour
+	is.NoErr(restarted.HandleReport(report))
+	c := f.newCaller()
+	c.send(2000, routing.SYN, "")
+	_, _, answered := c.receive(2000)
+	is.True(!answered) // not reset
+	is.Equal(restarted.Counters().(segment.AgentCounters).Refusals[routing.RefusalColdLimit.String()], uint64(1))
+	clock.advance(1100 * time.Millisecond)
+	openFlows(c, 2000, 2001)
+	is.True(!restarted.Ready())
+}
+
 // A step of the VM's clock moves the time at which the backend server says that it has
 // started. The warm-up is counted from its report and stays as it was.
 func TestClockStepChangesNoWarmup(t *testing.T) {
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -153,6 +153,8 @@
 	zone string
 	// nextLeader is where the next control process will listen, if any.
 	nextLeader netip.AddrPort
+	// coldAgent are the options of the agent that startColdFleet has started.
+	coldAgent segment.AgentOptions
 }
 
 func newFleet(t *testing.T) *fleet {
