Let every accepted order on a zone outdate those sent before it

Cause: an order that changed nothing was acknowledged and left the evacuations' revision as it was. An opposite order, proposed before it and held up on its way, still named that revision and took the acknowledged one back (found in review: start repeated and acknowledged, older end late: the evacuation was gone; and the other way round). Change: accepted orders raise the revision, also where the zone stays as it is. The resend after a leader's death is counted as one more order.

--- a/core/fleet/evacuation.go
+++ b/core/fleet/evacuation.go
@@ -22,7 +22,7 @@
 // evacuations are the evacuations of a fleet, at most maxEvacuations.
 type evacuations struct {
 	sorted   []Evacuation // by zone; never modified in place
-	revision uint64       // of the state at their last change; 0 before the first
+	revision uint64       // of the state after the latest accepted command; 0 before the first
 }
 
 func newEvacuations(list []Evacuation, revision uint64) evacuations {
@@ -43,8 +43,8 @@
 // Evacuations returns the evacuations, sorted by zone. Treat them as read-only.
 func (m *StateMachine) Evacuations() []Evacuation { return m.evacuations.sorted }
 
-// EvacuationRevision returns the revision at which the evacuations last changed, 0
-// before their first change.
+// EvacuationRevision returns the revision of the latest accepted evacuation or end of one,
+// 0 before the first.
 func (m *StateMachine) EvacuationRevision() uint64 { return m.evacuations.revision }
 
 // Evacuation returns the evacuation of an availability zone, or false if it has none.
@@ -56,13 +56,14 @@
 	return m.evacuations.sorted[i], true
 }
 
-// evacuate adds an evacuation. If the zone already has one, it is accepted without
-// effect.
+// evacuate adds an evacuation. If the zone already has one, the command is accepted and
+// only the revision grows, so that an end which was proposed before it and arrives later
+// conflicts.
 func (m *StateMachine) evacuate(c *Command) Result {
 	i, ok := m.evacuations.find(c.Zone)
 	switch {
 	case ok:
-		return m.newResult(OutcomeAccepted)
+		return m.setEvacuations(m.evacuations.sorted)
 	case c.ExpectedRevision != m.evacuations.revision:
 		return m.newResult(OutcomeConflict)
 	case len(m.evacuations.sorted) >= maxEvacuations:
@@ -72,13 +73,13 @@
 	return m.setEvacuations(slices.Insert(slices.Clone(m.evacuations.sorted), i, evacuation))
 }
 
-// endEvacuation removes an evacuation. If the zone has none, it is accepted without
-// effect.
+// endEvacuation removes an evacuation. If the zone has none, the command is accepted and
+// only the revision grows, see evacuate.
 func (m *StateMachine) endEvacuation(c *Command) Result {
 	i, ok := m.evacuations.find(c.Zone)
 	switch {
 	case !ok:
-		return m.newResult(OutcomeAccepted)
+		return m.setEvacuations(m.evacuations.sorted)
 	case c.ExpectedRevision != m.evacuations.revision:
 		return m.newResult(OutcomeConflict)
 	}
