Confirm the flows of an agent that has not reached control yet

Cause: such an agent named service 0 in its notifications. The balancer kept that as the flow's owner, found no member for it and searched for every later packet; a copy of a SYN was placed at a second backend server (found in review). Change: until its configuration is known, the agent names the service of the latest envelope that it has accepted.

--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -68,6 +68,10 @@
 	// announceNow requests an immediate announcement.
 	announceNow chan struct{}
 
+	// envelopeService is the service of the latest envelope that was accepted. It stands
+	// in for service while control cannot be reached.
+	envelopeService atomic.Uint32
+
 	mu      sync.Mutex
 	report  BackendReport
 	service view.ServiceID
@@ -202,6 +206,7 @@
 		a.returnSegment(&header.Segment, forwardInfo, decision.Refusal, payload)
 		return
 	}
+	a.envelopeService.Store(uint32(h.Flow.Service))
 	if decision.NotifyBalancer {
 		a.notifyOwner(h.ReplyTo, header.Tuple)
 	}
@@ -251,7 +256,11 @@
 func (a *Agent) newNotification(ownsFlow bool) notification {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return notification{Seed: view.SeedOf(a.report.ID), Service: a.service, Load: a.steer.Load(), OwnsFlow: ownsFlow}
+	service := a.service
+	if service == 0 {
+		service = view.ServiceID(a.envelopeService.Load())
+	}
+	return notification{Seed: view.SeedOf(a.report.ID), Service: service, Load: a.steer.Load(), OwnsFlow: ownsFlow}
 }
 
 func (a *Agent) seed() uint64 {
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -95,6 +95,7 @@
 	if r.Service != a.options.Service {
 		a.options.Log.Warn("Backend server reported a different service; subscribing to it.", zap.String("service", r.Service), zap.String("before", a.options.Service))
 		a.options.Service, a.service = r.Service, 0
+		a.envelopeService.Store(0)
 		a.steer.ClearService()
 		a.subscribe(r.Service)
 	}
--- a/internal/segment/cold_test.go
+++ b/internal/segment/cold_test.go
@@ -166,3 +166,31 @@
 		f.waitFor("the backend server is warm", func() bool { return !agent.Counters().(segment.AgentCounters).Cold })
 	}
 }
+
+// Guards against searches for every packet of the flows that an agent takes before it has
+// reached control: it confirmed them for service 0, which no balancer knows.
+func TestAgentWithoutControlConfirmsItsFlows(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	backend, agent := f.startBackend("host-1")
+	is.NoErr(agent.Stop(context.Background()))
+	options := f.agentOptions(backend)
+	agent, err := segment.StartAgent(options)
+	is.NoErr(err)
+	is.NoErr(agent.HandleReport(backend.report(1)))
+	balancer := f.startBalancer(1)
+	is.NoErr(agent.Stop(context.Background()))
+	options.SessionID += 1000
+	options.ControlAddrs = subscribe.Fixed(freeAddr(t))
+	restarted, err := segment.StartAgent(options)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = restarted.Stop(context.Background()) })
+	is.NoErr(restarted.HandleReport(backend.report(2)))
+	c := f.newCaller()
+	for port := 3000; port < 3005; port++ {
+		c.sendUntilAnswered(port, routing.SYN, "")
+		c.sendUntilAnswered(port, routing.ACK, "request")
+	}
+	is.Equal(balancer.Counters().(segment.BalancerCounters).Decisions[routing.ReasonSearched.String()], uint64(0))
+	is.True(!restarted.Ready())
+}
