Count the unfit members that views take out in the limit of balancers

Cause: a balancer counted the unfit members before one in the order of seeds, whether the view listed them without new flows or not. Views choose theirs in another order, so that up to twice max_unfit of a service got no new flows. The total was that of all members with a load report or a placement, also of those removed within the last minute, so that a service of four could be told to spare one too many. And for each SYN with an unfit candidate the balancer went through the members of all services under its lock, as the middle service time did twice a second for each service.

Change: unfit members that the view lists without new flows are counted first, the total is that of the members that accept new flows and of those, and the balancer keeps the set of the members that report to be unfit. The middle service time goes through the members of its service.

--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -118,7 +118,7 @@
 // SetTable activates a table. Calls must not be concurrent.
 func (b *Balancer) SetTable(t *Table) {
 	b.table.Store(t)
-	b.loads.prune(t)
+	b.loads.setTable(t)
 	b.shares.prune(t)
 }
 
--- a/core/routing/cost.go
+++ b/core/routing/cost.go
@@ -36,7 +36,10 @@
 		return fullPace
 	}
 	middle := l.middleOf(now, m.service)
-	pace := uint64(ml.report.ServiceTime) * fullPace / uint64(max(middle, 1))
+	if middle == 0 {
+		return fullPace
+	}
+	pace := uint64(ml.report.ServiceTime) * fullPace / uint64(middle)
 	if pace <= maxEqualPace && pace*maxEqualPace >= fullPace*fullPace {
 		return fullPace
 	}
@@ -50,8 +53,9 @@
 		return cached.value
 	}
 	var known []uint32
-	for key, ml := range l.byMember {
-		if key.service == service && ml.report.ServiceTime > 0 {
+	members := l.table.members[service]
+	for i := range members {
+		if ml := l.byMember[memberKey{service, members[i].peer.Seed}]; ml != nil && ml.report.ServiceTime > 0 {
 			known = append(known, ml.report.ServiceTime)
 		}
 	}
--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -60,6 +60,12 @@
 	rules    map[view.ServiceID]PlacementRules
 	// middles holds the middle service time of each service.
 	middles map[view.ServiceID]middleTime
+	// table is the active table, and accepting the number of its members of each service
+	// that accept new flows.
+	table     *Table
+	accepting map[view.ServiceID]int
+	// unfit holds the seeds of the members whose latest report calls them unfit.
+	unfit map[view.ServiceID]map[uint64]bool
 }
 
 type memberKey struct {
@@ -81,7 +87,10 @@
 }
 
 func newLoadTracker() *loadTracker {
-	return &loadTracker{byMember: make(map[memberKey]*memberLoad), middles: make(map[view.ServiceID]middleTime)}
+	return &loadTracker{
+		byMember: make(map[memberKey]*memberLoad), middles: make(map[view.ServiceID]middleTime), table: NewTable(),
+		unfit: make(map[view.ServiceID]map[uint64]bool),
+	}
 }
 
 func (l *loadTracker) loadOf(m *member) *memberLoad {
@@ -102,6 +111,7 @@
 	ml := l.loadOf(m)
 	ml.report, ml.reportedAt, ml.suspectedUntil, ml.isUnresponsive = load, now, 0, false
 	ml.placedSinceReport = 0
+	l.setUnfit(m.service, m.peer.Seed, load.IsUnfit)
 }
 
 // suspect excludes a member from placement for suspectTime.
@@ -157,13 +167,17 @@
 	slices.SortStableFunc(members, func(a, b *member) int { return cmp.Compare(rank(a), rank(b)) })
 }
 
-// prune deletes the loads of members that t does not contain.
-func (l *loadTracker) prune(t *Table) {
+// setTable records the active table, and deletes the loads of members that it does not
+// contain.
+func (l *loadTracker) setTable(t *Table) {
+	accepting := t.acceptingMembers()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.table, l.accepting = t, accepting
 	for key := range l.byMember {
 		if t.findMember(key.service, key.seed) == nil {
 			delete(l.byMember, key)
+			l.setUnfit(key.service, key.seed, false)
 		}
 	}
 }
--- a/core/routing/rules.go
+++ b/core/routing/rules.go
@@ -49,16 +49,39 @@
 	return nil
 }
 
+// setUnfit records whether a member's latest report calls it unfit.
+func (l *loadTracker) setUnfit(service view.ServiceID, seed uint64, isUnfit bool) {
+	seeds := l.unfit[service]
+	switch {
+	case !isUnfit:
+		delete(seeds, seed)
+	case seeds == nil:
+		l.unfit[service] = map[uint64]bool{seed: true}
+	default:
+		seeds[seed] = true
+	}
+	if len(l.unfit[service]) == 0 {
+		delete(l.unfit, service)
+	}
+}
+
 // mayAvoid reports whether an unfit member is among those that MaxUnfitPercent allows to
-// avoid. All balancers that have the same reports choose the same ones.
+// avoid. All balancers that have the same reports and view choose the same ones. Those
+// that the view lists without new flows come first, whoever has decided it: views and
+// balancers together take out no more than allowed.
 func (l *loadTracker) mayAvoid(now time.Duration, m *member) bool {
-	total, unfitBefore := 0, 0
-	for key, ml := range l.byMember {
-		if key.service != m.service {
-			continue
-		}
-		total++
-		if key.seed < m.peer.Seed && ml.validReport(now).IsUnfit {
+	if !m.acceptsNew {
+		return true
+	}
+	total, unfitBefore := l.accepting[m.service], 0
+	for seed := range l.unfit[m.service] {
+		other, ml := l.table.findMember(m.service, seed), l.byMember[memberKey{m.service, seed}]
+		switch {
+		case other == nil || other.isGone || other.removedAt > 0 || ml == nil || !ml.validReport(now).IsUnfit:
+		case !other.acceptsNew:
+			total++
+			unfitBefore++
+		case seed < m.peer.Seed:
 			unfitBefore++
 		}
 	}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -206,6 +206,19 @@
 	return n
 }
 
+// acceptingMembers returns the number of members of each service that accept new flows.
+func (t *Table) acceptingMembers() map[view.ServiceID]int {
+	out := make(map[view.ServiceID]int, len(t.members))
+	for service, members := range t.members {
+		for i := range members {
+			if members[i].acceptsNew {
+				out[service]++
+			}
+		}
+	}
+	return out
+}
+
 // servicesToSearch returns the services that may own a flow, the most likely first.
 func (t *Table) servicesToSearch(key uint64, addr netip.AddrPort) []view.ServiceID {
 	services := t.routes[addr].Services
