Leave unfit members out where new flows contend for room

Cause: admit looked at the room of all members that are not suspect. A member that its agent calls unfit looks idle once its callers have given up, so that while the other candidates were full it was the only one with room and got every flow that would have waited or been refused. It also hid from the shares that room is short.

Change: the room at avoided members counts only if all candidates are avoided, as with suspect ones. A member due for a trial counts, so that trials go on; a suspect one is not tried before it is trusted again.

--- /dev/null
+++ b/core/routing/contention_fitness_test.go
@@ -0,0 +1,44 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fulmarmount.org/core/view"
+)
+
+// contendedBalancer returns a balancer of a service with settings for contention, whose
+// members report the given loads.
+func contendedBalancer(rules PlacementRules, loads ...Load) *Balancer {
+	b := newBalancer(servers(1, len(loads))...)
+	service := WeightedService{Service: testService, Weight: 1, Contention: Contention{WaitLimit: 100}}
+	b.SetTable(b.Table().WithRoutes(Routes{address: {Listener: Listener{Timeout: time.Second}, Services: []WeightedService{service}}}))
+	b.SetPlacementRules(map[view.ServiceID]PlacementRules{testService: rules})
+	for n, load := range loads {
+		b.ReportLoad(testNow, testService, view.SeedOf(server(n+1).ID), load)
+	}
+	return b
+}
+
+// An unfit member looks idle once its callers have given up, and gets no flows because
+// others are full.
+func TestNoFlowOverflowsToAnUnfitMember(t *testing.T) {
+	is := is.New(t)
+	full := Load{RunningRequests: 40, ServiceTime: 20_000}
+	b := contendedBalancer(PlacementRules{MaxUnfitPercent: 50}, Load{IsUnfit: true, RunningRequests: 1}, full, full)
+	d := b.Steer(testNow, syn(1))
+	is.Equal(d.Verdict, Drop)
+	is.Equal(d.Reason, ReasonOverloaded)
+}
+
+// A trial is placed also while settings for contention are on.
+func TestUnfitMemberIsTriedInContention(t *testing.T) {
+	is := is.New(t)
+	full := Load{RunningRequests: 40, ServiceTime: 20_000}
+	b := contendedBalancer(PlacementRules{MaxUnfitPercent: 50}, Load{IsUnfit: true}, full, full)
+	b.loads.loadOf(b.Table().findMember(testService, view.SeedOf(server(1).ID))).triedAt = testNow - trialInterval
+	is.Equal(b.Steer(testNow, syn(1)).To.Seed, view.SeedOf(server(1).ID))
+	is.Equal(b.Steer(testNow, syn(2)).Reason, ReasonOverloaded)
+}
--- a/core/routing/rules.go
+++ b/core/routing/rules.go
@@ -38,17 +38,23 @@
 // whether it is well again. The caller holds the lock.
 func (l *loadTracker) takeTrial(now time.Duration, candidates []*member) *member {
 	for _, m := range candidates {
-		ml := l.loadOf(m)
-		report := ml.validReport(now)
-		if !report.IsUnfit || report.RunningRequests > 0 || now-ml.triedAt < trialInterval || !l.mayAvoid(now, m) {
-			continue
+		if ml := l.loadOf(m); l.isTrialDue(now, m, ml) {
+			ml.triedAt = now
+			return m
 		}
-		ml.triedAt = now
-		return m
 	}
 	return nil
 }
 
+// isTrialDue reports whether the next flow that may be placed on the member is a trial.
+func (l *loadTracker) isTrialDue(now time.Duration, m *member, ml *memberLoad) bool {
+	report := ml.validReport(now)
+	if ml.suspectedUntil > now {
+		return false
+	}
+	return report.IsUnfit && report.RunningRequests == 0 && now-ml.triedAt >= trialInterval && l.mayAvoid(now, m)
+}
+
 // setUnfit records whether a member's latest report calls it unfit.
 func (l *loadTracker) setUnfit(service view.ServiceID, seed uint64, isUnfit bool) {
 	seeds := l.unfit[service]
--- a/core/routing/wait.go
+++ b/core/routing/wait.go
@@ -29,23 +29,24 @@
 	reportAge time.Duration
 }
 
-// rooms returns the room at each candidate that is not suspect, or at all of them if all
-// are. It answers the load under which some members are full and others not: whether any
-// member of the service has room says nothing about the candidates of one flow.
+// rooms returns the room at each candidate that is not avoided or is due for a trial, or
+// at all of them if there is none. It answers the load under which some members are full
+// and others not: whether any member of the service has room says nothing about the
+// candidates of one flow. An unfit member looks idle once its callers have given up.
 func (l *loadTracker) rooms(now time.Duration, candidates []*member) []room {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var trusted, suspect []room
+	var trusted, avoided []room
 	for _, m := range candidates {
 		ml := l.loadOf(m)
-		if ml.suspectedUntil > now {
-			suspect = append(suspect, ml.room(now, m))
+		if l.avoids(now, m, ml) && !l.isTrialDue(now, m, ml) {
+			avoided = append(avoided, ml.room(now, m))
 			continue
 		}
 		trusted = append(trusted, ml.room(now, m))
 	}
 	if len(trusted) == 0 {
-		return suspect
+		return avoided
 	}
 	return trusted
 }
