Place on a full cold member before one that flows avoid

Cause: cold members without a free slot were left out while any other candidate was left, also if that was suspect or unfit. The flow then went to a member that does not answer, although a cold one still took new flows.

Change: they are left out only while a candidate is left that new flows do not avoid.

--- a/core/routing/coldplacement.go
+++ b/core/routing/coldplacement.go
@@ -18,13 +18,14 @@
 }
 
 // withColdRoom returns the candidates other than cold members that take no new flow at the
-// moment. Of the others it leaves out cold ones without a free slot, unless there are no
-// more. It answers the return of many cold backend servers at once: they have the least
+// moment. Of the others it leaves out cold ones without a free slot, unless new flows avoid
+// all the rest. It answers the return of many cold backend servers at once: they have the least
 // load, and flows placed on them beyond their limit would be refused one after the other.
 func (l *loadTracker) withColdRoom(now time.Duration, candidates []*member) []*member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	accepting, preferred := make([]*member, 0, len(candidates)), make([]*member, 0, len(candidates))
+	hasTrusted := false
 	for _, m := range candidates {
 		ml := l.loadOf(m)
 		if ml.isAtColdLimit(now) {
@@ -33,9 +34,10 @@
 		accepting = append(accepting, m)
 		if !ml.isColdAndFull(now, m) {
 			preferred = append(preferred, m)
+			hasTrusted = hasTrusted || !l.avoids(now, m, ml)
 		}
 	}
-	if len(preferred) > 0 {
+	if hasTrusted {
 		return preferred
 	}
 	return accepting
--- a/core/routing/contention_fitness_test.go
+++ b/core/routing/contention_fitness_test.go
@@ -42,3 +42,17 @@
 	is.Equal(b.Steer(testNow, syn(1)).To.Seed, view.SeedOf(server(1).ID))
 	is.Equal(b.Steer(testNow, syn(2)).Reason, ReasonOverloaded)
 }
+
+// A cold member that still takes flows is better than one that is unfit or suspect.
+func TestColdMemberIsPreferredToAvoidedOnes(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(servers(1, 3)...)
+	b.SetPlacementRules(map[view.ServiceID]PlacementRules{testService: {MaxUnfitPercent: 50}})
+	seed := func(n int) uint64 { return view.SeedOf(server(n).ID) }
+	b.ReportLoad(testNow, testService, seed(1), Load{IsUnfit: true, RunningRequests: 1})
+	b.ReportLoad(testNow, testService, seed(2), Load{IsCold: true, NewFlowAllowance: 5, RunningRequests: 4})
+	b.loads.suspect(testNow, b.Table().findMember(testService, seed(3)))
+	for n := range 5 {
+		is.Equal(b.Steer(testNow, syn(n)).To.Seed, seed(2))
+	}
+}
