Keep the room at a member without a report from overflowing

Cause: what a member has finished since its report was computed from the time since the report, also where there is none or it has expired. The time is then that of the process, and times the slots it overflows: after 107 days with 1,000 slots, after 39 hours with 65,535. Such a member counted as full, and its flows were dropped or reset.

Change: no more than the time for which a report is valid counts.

--- a/core/routing/wait.go
+++ b/core/routing/wait.go
@@ -62,7 +62,7 @@
 func (ml *memberLoad) room(now time.Duration, m *member) room {
 	report, slots, age := ml.validReport(now), int(m.slots), now-ml.reportedAt
 	serviceTime := time.Duration(report.ServiceTime) * time.Microsecond
-	finished := int(age * time.Duration(slots) / cmp.Or(serviceTime, assumedServiceTime))
+	finished := int(min(age, reportTTL) * time.Duration(slots) / cmp.Or(serviceTime, assumedServiceTime))
 	placed, reported := ml.recentPlacements(now), int(report.RunningRequests)
 	requests := reported - min(finished, reported/2) + placed
 	waiting := max(requests+1-slots, 0)
