Let flows wait for a cold member that takes none at the moment

Cause: cold members that take no new flow are left out before a flow is admitted. If the rest could not answer in time, the flow was reset as too late, although a cold candidate would take its next copy within a fraction of a second.

Change: such a flow is dropped, with the reason cold_limit.

Figures: TestColdMembersAreWorthWaitingFor failed before and passes; go test ./routing (in core) passes.

--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -201,15 +201,21 @@
 	if len(candidates) == 0 {
 		return b.rejectUnplaced(t, service)
 	}
+	total := len(candidates)
 	if candidates = b.loads.withColdRoom(now, candidates); len(candidates) == 0 {
 		return Decision{Verdict: Drop, Reason: ReasonColdLimit}
 	}
 	switch {
 	case ws.Contention != Contention{}:
-		var refused Decision
-		if candidates, refused = b.admit(now, t, s, ws, candidates); refused.Refused != nil {
+		admitted, refused := b.admit(now, t, s, ws, candidates)
+		if refused.Reason == ReasonTooLate && len(candidates) < total {
+			// A cold member may take the next copy of the SYN.
+			refused.Verdict, refused.Reason = Drop, ReasonColdLimit
+		}
+		if refused.Refused != nil {
 			return refused
 		}
+		candidates = admitted
 	case b.loads.allOverloaded(now, t.members[service], s.Retransmits):
 		return Decision{Verdict: Drop, Reason: ReasonOverloaded}
 	}
--- a/core/routing/contention_fitness_test.go
+++ b/core/routing/contention_fitness_test.go
@@ -56,3 +56,13 @@
 		is.Equal(b.Steer(testNow, syn(n)).To.Seed, seed(2))
 	}
 }
+
+// A flow that members may take in a moment is not reset as too late.
+func TestColdMembersAreWorthWaitingFor(t *testing.T) {
+	is := is.New(t)
+	full, cold := Load{RunningRequests: 400, ServiceTime: 20_000}, Load{IsCold: true}
+	is.Equal(contendedBalancer(PlacementRules{}, full, full, full).Steer(testNow, syn(1)).Reason, ReasonTooLate)
+	d := contendedBalancer(PlacementRules{}, full, cold, full).Steer(testNow, syn(1))
+	is.Equal(d.Verdict, Drop)
+	is.Equal(d.Reason, ReasonColdLimit)
+}
