Never reset a flow that was forwarded before

Cause: a copy of a SYN whose flow was placed, but not confirmed yet, is placed anew. If no candidate could answer in time it was reset, while the member that had got the first copy may have been answering: the caller's request could run after the reset had told that nothing has.

Change: such a copy is dropped, with the same reason.

Figures: TestCopiesOfPlacedFlowsAreNotReset failed before and passes; go test ./routing (in core) passes.

--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -182,7 +182,11 @@
 		return forwardToOwner(m)
 	}
 	b.loads.suspect(now, m)
-	return b.placeFlow(now, t, s, id, 0)
+	d := b.placeFlow(now, t, s, id, 0)
+	if d.Refused != nil {
+		d.Verdict = Drop // the member may be answering: a reset would tell that nothing ran
+	}
+	return d
 }
 
 // placeFlow selects the member for a new flow. While every member is overloaded, SYNs
--- a/core/routing/contention_fitness_test.go
+++ b/core/routing/contention_fitness_test.go
@@ -66,3 +66,16 @@
 	is.Equal(d.Verdict, Drop)
 	is.Equal(d.Reason, ReasonColdLimit)
 }
+
+// A flow that was placed before may have its answer under way: its copies are not reset.
+func TestCopiesOfPlacedFlowsAreNotReset(t *testing.T) {
+	is := is.New(t)
+	b := contendedBalancer(PlacementRules{}, Load{})
+	is.Equal(b.Steer(testNow, syn(1)).Verdict, Forward)
+	b.ReportLoad(testNow, testService, view.SeedOf(server(1).ID), Load{RunningRequests: 400, ServiceTime: 20_000})
+	again := syn(1)
+	again.Retransmits = 1
+	d := b.Steer(testNow, again)
+	is.Equal(d.Reason, ReasonTooLate)
+	is.Equal(d.Verdict, Drop)
+}
