Count no room at members that take no flow

Cause: without settings for contention, SYNs are dropped while every member is overloaded. An idle member that is cold and at its limit, or unfit and avoided, counted as room, but gets no flow, so that those of all callers went on to the queues of the overloaded ones.

Change: such members do not count. Without cold limits and judgements nothing changes.

--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -222,7 +222,8 @@
 }
 
 // allOverloaded reports whether there are members that accept new flows and all of them
-// have reached the limit for a SYN with that number of retransmissions.
+// have reached the limit for a SYN with that number of retransmissions. Cold members that
+// take no new flow at the moment and unfit ones that flows avoid have no room for it.
 func (l *loadTracker) allOverloaded(now time.Duration, members []member, retransmits uint32) bool {
 	limit := firstSYNLimit
 	if retransmits > 0 {
@@ -236,8 +237,11 @@
 		if !m.acceptsNew {
 			continue
 		}
-		anyAccepts = true
 		ml := l.loadOf(m)
+		if ml.isAtColdLimit(now) || ml.validReport(now).IsUnfit && l.mayAvoid(now, m) {
+			continue
+		}
+		anyAccepts = true
 		if (int(ml.validReport(now).RunningRequests)+ml.recentPlacements(now))*10 < int(m.slots)*limit {
 			return false
 		}
