--- a/core/routing/queueing.go
+++ b/core/routing/queueing.go
@@ -7,7 +7,7 @@
 )
 
 // queueCost is the load of a request that waits for a slot, in thousandths of a running
-// request. It outweighs any number of open flows that a backend server holds.
+// request. It outweighs 4,000 open flows.
 const queueCost = 1_000_000
 
 // running returns the number of running and waiting requests of a member, by its latest
