--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -118,7 +118,7 @@
 // SetTable activates a table. Calls must not be concurrent.
 func (b *Balancer) SetTable(t *Table) {
 	b.table.Store(t)
-	b.loads.prune(t)
+	b.loads.setTable(t)
 	b.shares.prune(t)
 }
 
@@ -182,7 +182,11 @@
 		return forwardToOwner(m)
 	}
 	b.loads.suspect(now, m)
-	return b.placeFlow(now, t, s, id, 0)
+	d := b.placeFlow(now, t, s, id, 0)
+	if d.Refused != nil {
+		d.Verdict = Drop // the member may be answering: a reset would tell that nothing ran
+	}
+	return d
 }
 
 // placeFlow selects the member for a new flow. While every member is overloaded, SYNs
@@ -201,15 +205,21 @@
 	if len(candidates) == 0 {
 		return b.rejectUnplaced(t, service)
 	}
+	total := len(candidates)
 	if candidates = b.loads.withColdRoom(now, candidates); len(candidates) == 0 {
 		return Decision{Verdict: Drop, Reason: ReasonColdLimit}
 	}
 	switch {
 	case ws.Contention != Contention{}:
-		var refused Decision
-		if candidates, refused = b.admit(now, t, s, ws, candidates); refused.Refused != nil {
+		admitted, refused := b.admit(now, t, s, ws, candidates)
+		if refused.Reason == ReasonTooLate && len(candidates) < total {
+			// A cold member may take the next copy of the SYN.
+			refused.Verdict, refused.Reason = Drop, ReasonColdLimit
+		}
+		if refused.Refused != nil {
 			return refused
 		}
+		candidates = admitted
 	case b.loads.allOverloaded(now, t.members[service], s.Retransmits):
 		return Decision{Verdict: Drop, Reason: ReasonOverloaded}
 	}
