Leave the operators' socket of a successor in place

Cause: a balancer that hands over stops its server for operators twice: once to release the socket, and again with its other parts. The second stop removed the file at the socket's path, which the successor may have opened by then; operators could not reach it until its next start.

Change: a server removes its socket file once.

Test: TestSecondStopLeavesTheSocketOfASuccessor fails without the change (no such file).

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -216,3 +216,20 @@
 func (r *recorder) Header() http.Header         { return r.header }
 func (r *recorder) Write(b []byte) (int, error) { return io.Discard.Write(b) }
 func (r *recorder) WriteHeader(status int)      { r.status = status }
+
+// A process that has released its socket to a successor does not remove the successor's
+// when it stops.
+func TestSecondStopLeavesTheSocketOfASuccessor(t *testing.T) {
+	is := is.New(t)
+	socket := filepath.Join(t.TempDir(), "admin.sock")
+	o := Options{Socket: socket, Log: zap.NewNop()}
+	first, err := Start(o)
+	is.NoErr(err)
+	is.NoErr(first.Stop(t.Context())) // released
+	second, err := Start(o)
+	is.NoErr(err)
+	defer func() { is.NoErr(second.Stop(t.Context())) }()
+	is.NoErr(first.Stop(t.Context()))
+	_, err = os.Stat(socket)
+	is.NoErr(err)
+}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -32,6 +32,9 @@
 	socket string
 	remote net.Addr
 	done   sync.WaitGroup
+	// removed is done once the socket file is removed. The file at its path is another
+	// process's from then on.
+	removed sync.Once
 }
 
 // Start opens the sockets and serves until Stop.
@@ -131,7 +134,7 @@
 	}
 	s.done.Wait()
 	if s.socket != "" {
-		_ = os.Remove(s.socket)
+		s.removed.Do(func() { _ = os.Remove(s.socket) })
 	}
 	return err
 }
