Send a packet that cannot be held to the member that was to be asked

Cause: with 512 flows held, a balancer neither held the packet of another one nor asked or sent anything. Its search counted the member as probed: 60 ms later the member was taken for one that does not answer, which puts it last in all searches, and the search ended without a reset.

Change: such a packet goes to the member as at other times.

Test: TestPacketThatCannotBeHeldIsSent fails without the change (nothing arrives in 10 s). TestHeldPacketsAreBoundedAndAskOnce compares the new results of hold, and one more.

--- a/internal/segment/held.go
+++ b/internal/segment/held.go
@@ -37,15 +37,24 @@
 	return heldPackets{mu: &sync.Mutex{}, byFlow: make(map[flow.ID]*heldFlow)}
 }
 
-// hold adds a copy of a packet, unless it is held already, and reports whether the member
-// with a seed is to be asked now.
-func (k *heldPackets) hold(now time.Duration, id flow.ID, seed uint64, packet []byte) bool {
+// holding is what hold has done with a packet.
+type holding uint8
+
+const (
+	heldToAsk holding = iota // held, and the member is to be asked now
+	heldAsked                // held, or dropped as its flow has enough; the answer is awaited
+	notHeld                  // too many flows have held packets
+)
+
+// hold adds a copy of a packet, unless it is held already. seed is that of the member to
+// ask.
+func (k *heldPackets) hold(now time.Duration, id flow.ID, seed uint64, packet []byte) holding {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	f := k.byFlow[id]
 	if f == nil {
 		if len(k.byFlow) >= maxHeldFlows {
-			return false // the caller retransmits
+			return notHeld
 		}
 		f = &heldFlow{}
 		k.byFlow[id] = f
@@ -55,10 +64,10 @@
 		f.packets = append(f.packets, bytes.Clone(packet))
 	}
 	if f.queried == seed && now-f.queriedAt <= queryTimeout {
-		return false
+		return heldAsked
 	}
 	f.queried, f.queriedAt = seed, now
-	return true
+	return heldToAsk
 }
 
 // first returns the first packet of a flow, or nil. The caller must not change it.
--- a/internal/segment/query.go
+++ b/internal/segment/query.go
@@ -33,9 +33,15 @@
 }
 
 // query asks a member whether it owns the flow of a packet, which is held meanwhile. A
-// packet that comes while the answer is awaited is held with the others.
+// packet that comes while the answer is awaited is held with the others. One that cannot
+// be held is sent to the member: a search that sent nothing would take the member for one
+// that does not answer.
 func (b *Balancer) query(now time.Duration, s *routing.Segment, d routing.Decision, payload []byte) {
-	if !b.held.hold(now, s.Tuple.ID(), d.To.Seed, payload) {
+	switch b.held.hold(now, s.Tuple.ID(), d.To.Seed, payload) {
+	case notHeld:
+		b.forward(s, d, payload)
+		return
+	case heldAsked:
 		return
 	}
 	b.decisionCounters.queries.Add(1)
