--- a/internal/segment/held_test.go
+++ b/internal/segment/held_test.go
@@ -14,8 +14,8 @@
 	k := newHeldPackets()
 	id := flow.ID{Key: 1}
 	is.Equal(k.hold(0, id, 7, []byte{0}), heldToAsk)
-	is.Equal(k.hold(time.Millisecond, id, 7, []byte{1}), heldAsked)                 // its answer is awaited
-	is.Equal(k.hold(time.Millisecond, id, 7, []byte{0}), heldAsked)                 // a retransmission
+	is.Equal(k.hold(time.Millisecond, id, 7, []byte{1}), heldAsked)                  // its answer is awaited
+	is.Equal(k.hold(time.Millisecond, id, 7, []byte{0}), heldAsked)                  // a retransmission
 	is.Equal(k.hold(2*time.Millisecond, id, 8, []byte{0}), heldToAsk)                // the next member
 	is.Equal(k.hold(2*time.Millisecond+queryTimeout+1, id, 8, []byte{2}), heldToAsk) // the question may be lost
 	for n := byte(3); n < 100; n++ {
