Limit the wait for a predecessor in the tests, and show why it did not end

Cause: a successor that fails leaves its predecessor running, and succeed waited for its end without a limit: the whole run timed out after 10 minutes and showed no log.

Change: after the patience of the other waits the predecessor is ended, the test fails and prints the logs of both processes.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -159,7 +159,11 @@
 	next := &process{t: p.t, name: p.name, file: p.file, bin: p.bin, log: &bytes.Buffer{}}
 	next.run()
 	p.t.Cleanup(next.kill)
-	if err := p.cmd.Wait(); err != nil {
+	expired := time.AfterFunc(patience, func() { _ = p.cmd.Process.Kill() }) // it would be waited for without end
+	err := p.cmd.Wait()
+	expired.Stop()
+	if err != nil {
+		next.kill() // for a log that nobody writes to any more
 		p.t.Fatalf("%s did not end well: %v\n%s\nsuccessor:\n%s", p.name, err, p.log, next.log)
 	}
 	return next
