Let a process that has taken over be reached by its successor while it starts

Cause: a process opens its handover socket after its roles, which serve as soon as they have taken over. A successor that came in between (27 ms after the takeover in one trace) found the stale socket of the process before, took it for no predecessor, failed to bind the envelope address, and ended. The predecessor ran on, so that TestBalancerRestartLosesNoDatagram waited for it without end.

Change: a process that has taken over opens the socket before its roles and answers after them. The successor waits for the first message as long as a start may take; the predecessor is not paused before that. A process without a predecessor opens the socket after its roles as before, as another process may own it.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -170,3 +170,19 @@
 
 func (p *lateRelease) Pause() (Bundle, error) { return Bundle{{Role: "balancer", Kind: "state"}}, nil }
 func (p *lateRelease) Release()               { _ = p.conn.SetDeadline(time.Unix(1, 0)) }
+
+// A successor that comes while its predecessor starts waits for it.
+func TestSuccessorWaitsForAPredecessorThatStarts(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "handover")
+	l, err := Open(path)
+	is.NoErr(err)
+	received := make(chan Bundle, 1)
+	go func() {
+		bundle, _ := Receive(path)
+		received <- bundle
+	}()
+	s := Serve(l, &fakePredecessor{bundle: Bundle{{Role: "agent", Name: "host", Kind: "state"}}}, zap.NewNop())
+	is.Equal(len(<-received), 1)
+	is.NoErr(s.Close())
+}
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -23,9 +23,18 @@
 	tasks       sync.WaitGroup
 }
 
-// Listen opens the unix socket at path and serves successors until a handover
-// succeeds. It replaces the stale socket file of an earlier process.
+// Listen opens the unix socket at path and serves successors, see Open and Serve.
 func Listen(path string, p Predecessor, log *zap.Logger) (*Server, error) {
+	l, err := Open(path)
+	if err != nil {
+		return nil, err
+	}
+	return Serve(l, p, log), nil
+}
+
+// Open opens the unix socket at path. Successors that connect wait until Serve. It
+// replaces the stale socket file of an earlier process.
+func Open(path string) (*net.UnixListener, error) {
 	if err := os.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, ListenFailed.Wrap(err, "remove the stale socket %q", path)
 	}
@@ -40,9 +49,14 @@
 		_ = l.Close()
 		return nil, ListenFailed.Wrap(err, "restrict the permissions of %q", path)
 	}
+	return l, nil
+}
+
+// Serve serves the successors that connect to l until a handover succeeds.
+func Serve(l *net.UnixListener, p Predecessor, log *zap.Logger) *Server {
 	s := &Server{listener: l, predecessor: p, log: log}
 	s.tasks.Go(s.serve)
-	return s, nil
+	return s
 }
 
 // Close closes the socket and waits for a handover in progress to end.
--- a/internal/handover/take.go
+++ b/internal/handover/take.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// startTimeout limits the wait for a predecessor that has not started yet, and pauses only
+// after that.
+const startTimeout = 30 * time.Second
+
 // Receive requests a handover from the process that listens at path and returns
 // its bundle. It returns nil if no process listens. After an error, the
 // predecessor, if it is alive, resumes serving.
@@ -20,7 +24,7 @@
 		return nil, Failed.Wrap(err, "connect to %q", path)
 	}
 	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(time.Now().Add(handoverTimeout)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(startTimeout + handoverTimeout)); err != nil {
 		return nil, Failed.Wrap(err, "set the deadline")
 	}
 	bundle, err := receiveBundle(conn)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,6 +105,7 @@
 		}
 		return r, err
 	}
+	serveSuccessors := registerHandover(lc, o, s)
 	registerMetrics(lc, o)
 	if o.Settings.Has(settings.RoleControl) {
 		if err := openState(&o); err != nil {
@@ -135,7 +136,7 @@
 	}
 	registerAdapter(lc, o, &running)
 	registerAdmin(lc, o, d, s, &spread)
-	registerHandover(lc, o, s)
+	serveSuccessors()
 	return nil
 }
 
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 
 	"go.uber.org/fx"
@@ -83,17 +84,39 @@
 	close(s.left)
 }
 
-// registerHandover waits for a successor once every role has started.
-func registerHandover(lc fx.Lifecycle, o Options, s *Succession) {
+// registerHandover waits for a successor once every role has started. A process that has
+// taken over opens the socket before its roles: they serve from their start, and a
+// successor that found nobody at the socket would start with sockets of its own, which it
+// cannot have. It waits instead. A process that found no predecessor opens the socket
+// after its roles hold their sockets, as another process may have them, and its socket.
+func registerHandover(lc fx.Lifecycle, o Options, s *Succession) (serve func()) {
 	if o.Settings.Handover == "" || !o.Settings.Has(settings.RoleBalancer) {
-		return
+		return func() {}
+	}
+	var listener *net.UnixListener
+	open := func(context.Context) (err error) {
+		listener, err = handover.Open(o.Settings.Handover)
+		return err
+	}
+	if len(o.Inherited) > 0 {
+		lc.Append(fx.Hook{OnStart: open, OnStop: func(context.Context) error {
+			_ = listener.Close() // Close of the server has closed it, unless a role failed to start
+			return nil
+		}})
 	}
 	var server *handover.Server
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) (err error) {
-			server, err = handover.Listen(o.Settings.Handover, s, o.Log.Named("handover"))
-			return err
-		},
-		OnStop: func(context.Context) error { return server.Close() },
-	})
+	return func() {
+		lc.Append(fx.Hook{
+			OnStart: func(ctx context.Context) error {
+				if listener == nil {
+					if err := open(ctx); err != nil {
+						return err
+					}
+				}
+				server = handover.Serve(listener, s, o.Log.Named("handover"))
+				return nil
+			},
+			OnStop: func(context.Context) error { return server.Close() },
+		})
+	}
 }
