Set what a test's backend server holds under its lock

Cause: go test -race found that TestFloodOfOneListenerLeavesTheOther writes a field that the backend server's goroutine reads: in both runs of the whole package (one of them twice over), in none of 13 runs of it alone or with its neighbours. The fault is the test's.

Change: the field is set under the lock under which it is read.

--- a/internal/segment/contention_test.go
+++ b/internal/segment/contention_test.go
@@ -25,7 +25,7 @@
 		Inbound: []proto.Inbound{{Addr: f.serviceAddr, Weight: 1}, {Addr: others.serviceAddr, Weight: 1}},
 	}})
 	h, agent := f.startBackend("host-1")
-	h.held = f.serviceAddr
+	h.hold(f.serviceAddr)
 	is.NoErr(agent.HandleReport(h.report(1)))
 	balancer := f.startBalancer(1)
 	flood := f.newCaller()
@@ -53,3 +53,10 @@
 	is.True(counters.RefusedFlows[f.serviceAddr.String()]["no_room"] >= refused)
 	is.Equal(len(counters.RefusedFlows), 1) // no caller of the other listener was refused
 }
+
+// hold leaves requests to an address without a response.
+func (h *backendServer) hold(addr netip.AddrPort) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.held = addr
+}
