Drop the held packets of a flow when its caller opens another one

Cause: packets are held for up to 2 s. If the caller opened a flow with the same port meanwhile, they were sent to its new backend server once that had confirmed the flow, and a late answer to a query for the old flow could end in a reset of the new one: while a flow is not open, a caller accepts any reset.

Change: the first SYN of a flow drops what is held, parked and kept for a search of it.

Test: TestNewFlowDropsThePacketsOfTheOneBefore fails without the change.

--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -301,6 +301,9 @@
 func (b *Balancer) execute(now time.Duration, s *routing.Segment, d routing.Decision, payload []byte) {
 	b.decisionCounters.byReason[d.Reason].Add(1)
 	b.endDecisionPhases(d)
+	if s.OpensFlow() && s.Retransmits == 0 {
+		b.forget(s.Tuple.ID())
+	}
 	switch d.Verdict {
 	case routing.Forward:
 		switch {
@@ -325,6 +328,14 @@
 	b.logDecision(s, d)
 }
 
+// forget drops the packets that are kept of a flow, as its caller opens another one in its
+// place.
+func (b *Balancer) forget(id flow.ID) {
+	b.held.take(id)
+	b.searchPackets.remove(id)
+	b.parked.remove(id)
+}
+
 func (b *Balancer) forward(s *routing.Segment, d routing.Decision, payload []byte) {
 	b.send(d.To.Addr, &packet.Header{
 		Kind: packet.Forward, ReplyTo: b.conn.Addr(),
--- a/internal/segment/query_full_test.go
+++ b/internal/segment/query_full_test.go
@@ -51,3 +51,26 @@
 	is.Equal(h.Kind, packet.Forward)
 	is.Equal(string(payload), "request")
 }
+
+// A caller that opens a flow anew with the same port gets no answer to packets of the
+// flow before, and its new backend server does not get them.
+func TestNewFlowDropsThePacketsOfTheOneBefore(t *testing.T) {
+	is := is.New(t)
+	o := CommonOptions{EnvelopeAddr: netip.MustParseAddrPort("127.0.0.1:0"), KeyRing: queryRing{}, Now: time.Now, Log: zap.NewNop()}
+	outer, sockets, err := openSockets(o, o.EnvelopeAddr, &counters{})
+	is.NoErr(err)
+	defer outer.Close()
+	defer sockets.conn.Close()
+	b := &Balancer{
+		options: BalancerOptions{CommonOptions: o}, envelopeSocket: sockets, decisionCounters: newDecisionCounters(), held: newHeldPackets(),
+		searchPackets: newPacketBuffer(searchPacketTime), parked: newPacketBuffer(maxParkedTime), placementTimes: newStartTimes(), phases: newBalancerPhases(o),
+	}
+	tuple := flow.Tuple{Caller: netip.MustParseAddrPort("127.0.0.2:1000"), Service: netip.MustParseAddrPort("127.0.0.3:80")}
+	to := flow.Peer{Seed: 7, Addr: sockets.conn.Addr()}
+	b.execute(0, &routing.Segment{Tuple: tuple}, routing.Decision{Reason: routing.ReasonSearched, Query: true, To: to, Service: 1}, []byte("old"))
+	is.True(b.held.first(tuple.ID()) != nil)
+	is.True(b.searchPackets.get(tuple.ID()) != nil)
+	b.execute(0, &routing.Segment{Tuple: tuple, Flags: routing.SYN}, routing.Decision{Reason: routing.ReasonPlaced, To: to, Service: 1}, []byte("new"))
+	is.Equal(b.held.first(tuple.ID()), nil)
+	is.Equal(b.searchPackets.get(tuple.ID()), nil)
+}
