Decide at once about a packet parked after the confirmation

Cause: a packet that came a moment before the configuration was confirmed was parked a moment after, and waited for a change that had come already: up to 0.8 s, or for good (found in review; TestEarlyPacketsAreAnsweredOnceTheConfiguration IsConfirmed timed out once for it, by reading). Change: after such a packet is parked, the parked ones are decided again if the configuration is confirmed by then.

--- a/internal/segment/parked.go
+++ b/internal/segment/parked.go
@@ -27,6 +27,9 @@
 		b.parked.remove(s.Tuple.ID())
 		b.parked.put(now, s.Tuple.ID(), payload)
 	}
+	if d.Reason == routing.ReasonConfigUnconfirmed {
+		b.unpark() // the confirmation may have come between the decision and here
+	}
 }
 
 // unpark decides anew about the parked packets, after what this balancer knows has
