Ask each control process once in a round of those that turn daemons away

Attempts race: where the only control process that serves answers a handshake later than the others, they were asked again and again until the round was over, and the daemon waited for its delay. Change: a daemon leaves out those that have turned it away in this round. TestDetourEndsAfterARound holds the addresses in place of a count.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -56,47 +56,45 @@
 	o.Retry = o.Retry.WithDefaults()
 	var detour subscribe.Detour
 	for i := 0; ctx.Err() == nil; i++ {
-		out, err := o.renew(ctx, i, false)
+		order := detour.Order(subscribe.Order(o.Name, o.Control(), i))
+		out, err := o.renew(ctx, order, false)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			if o.Silent != nil {
 				o.Silent()
 			}
-			out, err = o.renew(ctx, i, true)
+			out, err = o.renew(ctx, order, true)
 		}
 		if err != nil && ctx.Err() == nil {
 			o.Log.Warn("Lost the lease's connection.", zap.Error(err))
 		}
-		if out.answered {
-			detour.End()
-		}
-		if out.turnedAway() && detour.Next(len(o.Control())) {
+		if out.turnedAway() && detour.Next(out.addr, o.Control()) {
 			continue
 		}
+		detour.End()
 		pace.Sleep(ctx, pace.Jitter(o.Retry.First))
 	}
 }
 
 // outcome is what a stream to a control process came to.
 type outcome struct {
-	opened   bool // a control process took the stream
-	answered bool // and has answered an announcement
-	silent   bool // and went silent
+	addr     netip.AddrPort // of the control process
+	opened   bool           // it took the stream
+	answered bool           // and has answered an announcement
+	silent   bool           // and went silent
 }
 
 // turnedAway reports whether a control process ended the stream without an answer.
 func (o outcome) turnedAway() bool { return o.opened && !o.answered && !o.silent }
 
-// renew announces on one stream until it fails. The turn chooses the control
-// process that is tried first.
-func (o *Options) renew(ctx context.Context, turn int, fresh bool) (out outcome, err error) {
-	order := subscribe.Order(o.Name, o.Control(), turn)
+// renew announces on one stream until it fails. It tries control processes in order.
+func (o *Options) renew(ctx context.Context, order []netip.AddrPort, fresh bool) (out outcome, err error) {
 	dial, stopDial := context.WithTimeout(ctx, o.Retry.Dial)
 	s, addr, err := o.Pool.OpenAny(dial, order, proto.Announce, fresh)
 	stopDial()
 	if err != nil {
 		return out, err
 	}
-	out.opened = true
+	out.addr, out.opened = addr, true
 	defer s.Abort()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -20,13 +20,20 @@
 // patience bounds a wait that ends early where announcements work.
 const patience = 20 * time.Second
 
-func startControl(t *testing.T, set *keys.Set, handle peer.Handler) netip.AddrPort {
+// startControl starts a control process whose handshakes take longer by a delay.
+func startControl(t *testing.T, set *keys.Set, handle peer.Handler, delay time.Duration) netip.AddrPort {
 	t.Helper()
 	is := is.New(t)
 	identity, err := set.Identity("control", time.Now())
 	is.NoErr(err)
+	config := identity.ServerTLSFor([]keys.Role{keys.Agent}, peer.Protocol)
+	configFor := config.GetConfigForClient
+	config.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+		time.Sleep(delay)
+		return configFor(hello)
+	}
 	server, err := peer.Listen(peer.ServerOptions{
-		Addr: netip.MustParseAddrPort("127.0.0.1:0"), TLS: identity.ServerTLSFor([]keys.Role{keys.Agent}, peer.Protocol), Log: zap.NewNop(),
+		Addr: netip.MustParseAddrPort("127.0.0.1:0"), TLS: config, Log: zap.NewNop(),
 		Handlers: map[string]peer.Handler{proto.Announce: handle},
 	})
 	is.NoErr(err)
@@ -45,10 +52,21 @@
 
 // The delay is longer than the test may take: an agent that waits for it fails the test.
 func TestAgentTurnedAwayAsksTheNextControlProcessAtOnce(t *testing.T) {
+	testTurnedAway(t, 0)
+}
+
+// Others answer sooner than the only control process that serves. An agent that asks them
+// again and again never reaches it.
+func TestAgentTurnedAwayReachesASlowControlProcess(t *testing.T) {
+	testTurnedAway(t, 400*time.Millisecond)
+}
+
+func testTurnedAway(t *testing.T, delay time.Duration) {
+	t.Helper()
 	is := is.New(t)
 	set, err := keys.Ephemeral(time.Now())
 	is.NoErr(err)
-	control := []netip.AddrPort{startControl(t, set, accept), startControl(t, set, refuse), startControl(t, set, refuse)}
+	control := []netip.AddrPort{startControl(t, set, accept, delay), startControl(t, set, refuse, 0), startControl(t, set, refuse, 0)}
 	identity, err := set.Identity("agent", time.Now())
 	is.NoErr(err)
 	for _, name := range []string{"a", "b", "c", "d", "e", "f"} { // they begin with different ones
--- a/internal/subscribe/detour_test.go
+++ b/internal/subscribe/detour_test.go
@@ -62,13 +62,20 @@
 
 func TestDetourEndsAfterARound(t *testing.T) {
 	is := is.New(t)
+	a, b, c := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")
+	control := []netip.AddrPort{a, b, c}
 	var d Detour
-	is.True(d.Next(3))
-	is.True(d.Next(3))
-	is.True(!d.Next(3)) // all have turned the daemon away
-	is.True(d.Next(3))
+	is.Equal(d.Order(control), control)
+	is.True(d.Next(b, control))
+	is.Equal(d.Order(control), []netip.AddrPort{a, c}) // whichever answers first, not b again
+	is.True(d.Next(a, control))
+	is.Equal(d.Order(control), []netip.AddrPort{c})
+	is.True(!d.Next(c, control)) // all have turned the daemon away
+	is.Equal(d.Order(control), control)
+	is.True(d.Next(a, control))
 	d.End()
-	is.True(d.Next(2))
-	is.True(!d.Next(2))
-	is.True(!d.Next(1))
+	is.Equal(d.Order(control), control)
+	is.True(d.Next(a, control[:2]))
+	is.True(!d.Next(b, control[:2]))
+	is.True(!d.Next(a, control[:1]))
 }
--- a/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -94,7 +94,7 @@
 	var detour Detour
 	for i := 0; ctx.Err() == nil; i++ {
 		order := Order(o.Name, o.Control(), i)
-		addr, retryAfter, heard, err := s.follow(ctx, order)
+		addr, retryAfter, heard, err := s.follow(ctx, detour.Order(order))
 		if ctx.Err() != nil {
 			return
 		}
@@ -103,9 +103,10 @@
 			backoff.Reset()
 			detour.End()
 		}
-		if !heard && retryAfter == 0 && addr.IsValid() && detour.Next(len(order)) {
+		if !heard && retryAfter == 0 && addr.IsValid() && detour.Next(addr, order) {
 			continue
 		}
+		detour.End()
 		if !pace.Sleep(ctx, backoff.Next(retryAfter)) {
 			return
 		}
