Name the new parts by the usual terms of the field

What the soak speaks of the users' platform is in platform/platformtest. Three log lines are reworded; names on the wire, in storage, settings, metrics and JSON stay.

--- a/core/lease/publish.go
+++ b/core/lease/publish.go
@@ -79,10 +79,10 @@
 }
 
 // ejectedMembers returns the members that get no new flows because of an expired
-// lease, failed health or flapping, at most Options.MaxEjectedShare of all, and at most
-// Options.MaxUnfitShare that are up and only judged as unfit: those
-// without new flows already come first, then those with an expired lease, each
-// ordered by their latest announcement, oldest first. It moves ejected members with
+// lease, failed health or flapping: at most Options.MaxEjectedShare of all, and among
+// these at most Options.MaxUnfitShare of all that are up and only judged as unfit. Those
+// without new flows already come first, then those with an expired lease, each ordered by
+// their latest announcement, oldest first. It moves ejected members with
 // an expired lease to phase gone.
 func (r *Registry) ejectedMembers(now time.Duration, s *service, ids []string) map[string]bool {
 	var candidates []*member
--- a/core/routing/agent.go
+++ b/core/routing/agent.go
@@ -57,7 +57,7 @@
 	// of the backend server. Searches rely on it, see possibleOwners.
 	RefusalOtherIncarnation
 	RefusalZoneEvacuated // operators have evacuated the agent's zone
-	RefusalColdLimit     // the backend server is cold and has its new flows of the moment
+	RefusalColdLimit     // the backend server is cold and has taken as many new flows as its limit allows now
 	// RefusalCount is the number of refusals.
 	RefusalCount = iota
 )
@@ -175,7 +175,7 @@
 // NewAgent returns an Agent started at now.
 func NewAgent(now time.Duration, o AgentOptions) *Agent {
 	a := &Agent{
-		fitness: newFitness(), silenceTimeout: o.SilenceTimeout, idleTimeout: o.IdleTimeout, startedAt: now, lastTick: now, isConfigMissing: true,
+		silenceTimeout: o.SilenceTimeout, idleTimeout: o.IdleTimeout, startedAt: now, lastTick: now, isConfigMissing: true, fitness: newFitness(),
 		flows: make(map[flow.ID]*backendFlow), probes: make(map[flow.ID]receivedProbe), routedAddrs: make(map[netip.AddrPort]bool),
 	}
 	a.coldLimit.setUnconfigured(o.ColdLimit)
--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -40,7 +40,7 @@
 	ReasonPartialView                     // the view may lack members that own the flow
 	ReasonOverloaded                      // no member can answer another request in time
 	ReasonPlacementLimit                  // too many members have refused the flow
-	ReasonColdLimit                       // every candidate is cold and has its new flows of the moment
+	ReasonColdLimit                       // every candidate is cold and has as many new flows as its limit allows now
 	ReasonTooLate                         // no candidate can answer the caller in time
 	ReasonFull                            // no candidate has room for a first SYN
 	ReasonCallerShare                     // the caller uses more than its share, and no slot is free
@@ -189,13 +189,8 @@
 	return d
 }
 
-// placeFlow selects the member for a new flow. While every member is overloaded, SYNs
-// are dropped and wait for their retransmission or the caller's next attempt: a reset
-// would use up the caller's attempts at once, and a place in a full queue would delay
-// requests that can still be answered in time. The limits are meant for the surge after
-// an outage, when waiting callers and new ones arrive together: callers that retransmit
-// are late already and get the capacity that first SYNs leave. Services with settings
-// for contention have admit instead.
+// placeFlow selects the member for a new flow, or decides about its SYN if no member that
+// accepts new flows has room for it.
 func (b *Balancer) placeFlow(now time.Duration, t *Table, s *Segment, id flow.ID, hops uint8) Decision {
 	ws, ok := selectService(id.Key, t.routes[s.Tuple.Service].Services)
 	if !ok {
@@ -205,23 +200,9 @@
 	if len(candidates) == 0 {
 		return b.rejectUnplaced(t, service)
 	}
-	total := len(candidates)
-	if candidates = b.loads.withColdRoom(now, candidates); len(candidates) == 0 {
-		return Decision{Verdict: Drop, Reason: ReasonColdLimit}
-	}
-	switch {
-	case ws.Contention != Contention{}:
-		admitted, refused := b.admit(now, t, s, ws, candidates)
-		if refused.Reason == ReasonTooLate && len(candidates) < total {
-			// A cold member may take the next copy of the SYN.
-			refused.Verdict, refused.Reason = Drop, ReasonColdLimit
-		}
-		if refused.Refused != nil {
-			return refused
-		}
-		candidates = admitted
-	case b.loads.allOverloaded(now, t.members[service], s.Retransmits):
-		return Decision{Verdict: Drop, Reason: ReasonOverloaded}
+	candidates, refused := b.candidatesWithRoom(now, t, s, ws, candidates)
+	if len(candidates) == 0 {
+		return refused
 	}
 	m := b.loads.selectLeastLoaded(now, candidates, b.zone)
 	if (ws.Contention != Contention{}) {
@@ -231,6 +212,32 @@
 	return Decision{Verdict: Forward, Reason: ReasonPlaced, To: m.peer, Service: m.service, Hops: hops}
 }
 
+// candidatesWithRoom returns the candidates that may take a new flow now, or none and the
+// decision about its SYN. Services with settings for contention have admit. For the others
+// SYNs are dropped while every member is overloaded, and wait for their retransmission or
+// the caller's next attempt: a reset would use up the caller's attempts at once, and a
+// place in a full queue would delay requests that can still be answered in time. These
+// limits answer the surge after an outage, when waiting callers and new ones arrive
+// together: callers that retransmit are late already and get the capacity that first SYNs
+// leave.
+func (b *Balancer) candidatesWithRoom(now time.Duration, t *Table, s *Segment, ws WeightedService, candidates []*member) ([]*member, Decision) {
+	accepting := b.loads.withColdRoom(now, candidates)
+	switch {
+	case len(accepting) == 0:
+		return nil, Decision{Verdict: Drop, Reason: ReasonColdLimit}
+	case ws.Contention != Contention{}:
+		admitted, refused := b.admit(now, t, s, ws, accepting)
+		if refused.Reason == ReasonTooLate && len(accepting) < len(candidates) {
+			// A cold member may take the next copy of the SYN.
+			refused.Verdict, refused.Reason = Drop, ReasonColdLimit
+		}
+		return admitted, refused
+	case b.loads.allOverloaded(now, t.members[ws.Service], s.Retransmits):
+		return nil, Decision{Verdict: Drop, Reason: ReasonOverloaded}
+	}
+	return accepting, Decision{}
+}
+
 // rejectUnplaced decides about a SYN that no listed member accepts. While the view may
 // lack members the SYN is dropped, as one may be listed before the retransmission; a
 // reset would use up the caller's attempts within milliseconds.
--- a/core/routing/contention.go
+++ b/core/routing/contention.go
@@ -23,7 +23,7 @@
 
 const (
 	// sharedLimit is the number of requests per slot, in tenths, from which a member is
-	// full for first SYNs: its queue keeps room for listeners below their share, and
+	// full for most new flows: its queue keeps room for listeners below their share, and
 	// slots stay in use between two load reports.
 	sharedLimit = 35
 	// reservedLimit is the same for listeners below their share.
@@ -64,7 +64,7 @@
 // to a place, the less is assumed to have finished since the candidate's report.
 func (f *newFlow) hasRoom(r room) bool {
 	switch {
-	case f.isGreedy:
+	case f.isAboveCallerShare:
 		return r.reportedLoad < idleLimit
 	case f.isBelowShare && (f.elapsed == 0 || !f.missesObjective(r.response)):
 		return r.load < reservedLimit
@@ -84,8 +84,9 @@
 // other candidates, as the new flow has another key. Silence would hold it until its
 // objective is missed, and would bring it back among those that can still be served in
 // time. In a crest, in which nearly all can be served, it is dropped: it has room with its
-// next copy, while three resets within milliseconds use up a caller's tries. A
-// retransmitted SYN is dropped, as its caller may be served later.
+// next copy, while resets within milliseconds use up a caller's tries. A retransmitted SYN
+// is dropped, as its caller may be served later. If no candidate can answer before the
+// caller gives up, either is reset.
 func (b *Balancer) admit(now time.Duration, t *Table, s *Segment, ws WeightedService, candidates []*member) ([]*member, Decision) {
 	if len(candidates) == 0 {
 		return candidates, Decision{}
@@ -115,9 +116,9 @@
 	switch {
 	case !inTime:
 		d.Reason = ReasonTooLate
-	case f.elapsed > 0 || !f.isFlooded && !f.isGreedy:
+	case f.elapsed > 0 || !f.isFlooded && !f.isAboveCallerShare:
 		d.Verdict, d.Reason = Drop, ReasonOverloaded
-	case f.isGreedy:
+	case f.isAboveCallerShare:
 		d.Reason = ReasonCallerShare
 	default:
 		d.Reason = ReasonFull
--- a/core/routing/cost.go
+++ b/core/routing/cost.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// fullPace is the pace of a member whose requests take as long as the middle one
+	// fullPace is the pace of a member whose requests take as long as the median one
 	// of its service, see paceOf.
 	fullPace = 1000
 	// maxEqualPace is the greatest pace, and fullPace squared over it the least, of
@@ -18,38 +18,38 @@
 	minPace = 500
 	// maxPace bounds what a member loses by answering slowly.
 	maxPace = 8000
-	// middleTTL is how long the middle service time of a service is used.
-	middleTTL = 500 * time.Millisecond
+	// medianTTL is how long the median service time of a service is used.
+	medianTTL = 500 * time.Millisecond
 )
 
-// middleTime is the middle of the known service times of a service, in microseconds.
-type middleTime struct {
+// medianTime is the median of the known service times of a service, in microseconds.
+type medianTime struct {
 	value      uint32
 	computedAt time.Duration
 }
 
 // paceOf returns how long a request occupies a slot of the member in thousandths of the
-// middle of its service. It is fullPace while the member's service time is unknown or
-// near the middle, so that members of equal speed are placed on as if none was measured.
+// median of its service. It is fullPace while the member's service time is unknown or
+// near the median, so that members of equal speed are placed on as if none was measured.
 func (l *loadTracker) paceOf(now time.Duration, m *member, ml *memberLoad) uint64 {
 	if !l.rules[m.service].MeasuredCapacity || ml.report.ServiceTime == 0 {
 		return fullPace
 	}
-	middle := l.middleOf(now, m.service)
-	if middle == 0 {
+	median := l.medianOf(now, m.service)
+	if median == 0 {
 		return fullPace
 	}
-	pace := uint64(ml.report.ServiceTime) * fullPace / uint64(middle)
+	pace := uint64(ml.report.ServiceTime) * fullPace / uint64(median)
 	if pace <= maxEqualPace && pace*maxEqualPace >= fullPace*fullPace {
 		return fullPace
 	}
 	return min(max(pace, minPace), maxPace)
 }
 
-// middleOf returns the middle of the known service times of a service.
-func (l *loadTracker) middleOf(now time.Duration, service view.ServiceID) uint32 {
-	cached, ok := l.middles[service]
-	if ok && now-cached.computedAt < middleTTL {
+// medianOf returns the median of the known service times of a service.
+func (l *loadTracker) medianOf(now time.Duration, service view.ServiceID) uint32 {
+	cached, ok := l.medians[service]
+	if ok && now-cached.computedAt < medianTTL {
 		return cached.value
 	}
 	var known []uint32
@@ -60,17 +60,20 @@
 		}
 	}
 	slices.Sort(known)
-	middle := middleTime{computedAt: now}
+	median := medianTime{computedAt: now}
 	if len(known) > 0 {
-		middle.value = known[len(known)/2]
+		median.value = known[len(known)/2]
 	}
-	l.middles[service] = middle
-	return middle.value
+	l.medians[service] = median
+	return median.value
 }
 
 // cost returns the work per slot at full weight that the member has before it, in
-// thousandths of a running request of the middle member. An open flow brings all its
-// later requests, so that a slow member gets fewer of them too.
+// thousandths of a running request of the member with the median service time. An open
+// flow brings all its later requests, so that a slow member gets fewer of them too.
+//
+// It answers the load under which members of different speed serve the same service: the
+// slow ones would queue while the fast ones have free slots.
 func (l *loadTracker) cost(now time.Duration, m *member, ml *memberLoad) uint64 {
 	report := ml.validReport(now)
 	total := uint64(report.Flows)*flowCost + (uint64(report.RunningRequests)+uint64(ml.recentPlacements(now)))*requestCost
--- a/core/routing/fitness.go
+++ b/core/routing/fitness.go
@@ -73,7 +73,7 @@
 	// for certain.
 	failures int
 	verdict  Unfitness
-	hungAt   time.Duration // by the meter's clock
+	hungAt   time.Duration // by the meter's clock; when verdict became Hung
 }
 
 func newFitness() fitness {
--- a/core/routing/gauges.go
+++ b/core/routing/gauges.go
@@ -16,7 +16,7 @@
 	// Age is the age of the latest load report; Load is that report.
 	Age  time.Duration `json:"age"`
 	Load Load          `json:"load"`
-	// Pace is the time that a request occupies a slot in thousandths of the middle of
+	// Pace is the time that a request occupies a slot in thousandths of the median of
 	// the service, as used in placing.
 	Pace uint64 `json:"pace"`
 	// IsAvoided is set if new flows avoid the member.
--- a/core/routing/loads.go
+++ b/core/routing/loads.go
@@ -58,8 +58,8 @@
 	mu       sync.Mutex
 	byMember map[memberKey]*memberLoad
 	rules    map[view.ServiceID]PlacementRules
-	// middles holds the middle service time of each service.
-	middles map[view.ServiceID]middleTime
+	// medians holds the median service time of each service.
+	medians map[view.ServiceID]medianTime
 	// table is the active table, and accepting the number of its members of each service
 	// that accept new flows.
 	table     *Table
@@ -88,7 +88,7 @@
 
 func newLoadTracker() *loadTracker {
 	return &loadTracker{
-		byMember: make(map[memberKey]*memberLoad), middles: make(map[view.ServiceID]middleTime), table: NewTable(),
+		byMember: make(map[memberKey]*memberLoad), medians: make(map[view.ServiceID]medianTime), table: NewTable(),
 		unfit: make(map[view.ServiceID]map[uint64]bool),
 	}
 }
--- a/core/routing/servicetime.go
+++ b/core/routing/servicetime.go
@@ -7,14 +7,14 @@
 )
 
 const (
-	// recentRequests and lastingRequests are the numbers of answered requests over
-	// which the two means of a slotMeter reach.
-	recentRequests  = 16
-	lastingRequests = 96
+	// shortMeanRequests and longMeanRequests are the numbers of answered requests over
+	// which the two exponentially decayed means of a slotMeter reach.
+	shortMeanRequests = 16
+	longMeanRequests  = 96
 	// minAnswers is the number of answered requests from which the service time is
 	// known.
 	minAnswers = 8
-	// changeFactor is the ratio of the recent to the lasting mean from which the
+	// changeFactor is the ratio of the short to the long mean from which the
 	// backend server has become slower or faster. Random service times stay below it.
 	changeFactor = 1.75
 	// reportStep is the relative change of the service time that is reported.
@@ -24,9 +24,9 @@
 	// rejectionDivisor is the part of the service time within which a response that
 	// overtakes waiting requests is a rejection for certain.
 	rejectionDivisor = 4
-	// settlingAnswers is the number of answers after a change in which the lasting mean
-	// follows the recent one, as that still holds some requests from before.
-	settlingAnswers = 2 * recentRequests
+	// settlingAnswers is the number of answers after a change in which the long mean
+	// follows the short one, as that still holds some requests from before.
+	settlingAnswers = 2 * shortMeanRequests
 	// maxMeteredGap bounds the time that passes between two events for a slotMeter: a
 	// pause of this process proves nothing about the backend server.
 	maxMeteredGap = 200 * time.Millisecond
@@ -42,13 +42,13 @@
 	// clock is the time that has passed without the pauses of this process.
 	clock time.Duration
 	// starts holds the clock's times at which the running requests began, ascending.
-	starts          []time.Duration
-	recent, lasting usage
+	starts              []time.Duration
+	shortMean, longMean usage
 	// answers counts the answered requests, up to minAnswers.
 	answers int
 	// settling counts down the answers after a change.
 	settling int
-	// usual is the lasting mean at the latest answer; 0 while it is unknown.
+	// usual is the long mean at the latest answer; 0 while it is unknown.
 	usual time.Duration
 	// latestServed is the latest beginning of a request that was answered, unless at
 	// once while earlier ones waited.
@@ -60,7 +60,7 @@
 	reported time.Duration
 }
 
-// usage is the decayed busy time of slots and the decayed number of requests answered.
+// usage is the exponentially decayed busy time of slots and number of requests answered.
 type usage struct {
 	busy    time.Duration
 	answers float64
@@ -117,12 +117,12 @@
 	if isOvertaking {
 		return // rejected: the slots hold earlier requests
 	}
-	m.recent.record(recentRequests)
-	m.lasting.record(lastingRequests)
+	m.shortMean.record(shortMeanRequests)
+	m.longMean.record(longMeanRequests)
 	m.answers = min(m.answers+1, minAnswers)
 	m.adoptChange()
 	if m.answers == minAnswers {
-		m.usual = m.lasting.mean()
+		m.usual = m.longMean.mean()
 	}
 }
 
@@ -133,8 +133,8 @@
 	if m.usual > 0 {
 		busy = min(busy, maxBusyPerAnswer*m.usual)
 	}
-	m.recent.busy += busy
-	m.lasting.busy += busy
+	m.shortMean.busy += busy
+	m.longMean.busy += busy
 	m.sinceAnswer, m.stalled = 0, 0
 }
 
@@ -147,19 +147,19 @@
 	return i
 }
 
-// adoptChange replaces the lasting mean by the recent one for a while once they differ
+// adoptChange replaces the long mean by the short one for a while once they differ
 // too much for chance.
 func (m *slotMeter) adoptChange() {
 	if m.answers < minAnswers {
 		return
 	}
-	ratio := float64(m.recent.mean()) / float64(max(m.lasting.mean(), 1))
+	ratio := float64(m.shortMean.mean()) / float64(max(m.longMean.mean(), 1))
 	if ratio > changeFactor || ratio < 1/changeFactor {
 		m.settling = settlingAnswers
 	}
 	if m.settling > 0 {
 		m.settling--
-		m.lasting = m.recent
+		m.longMean = m.shortMean
 	}
 }
 
@@ -169,7 +169,7 @@
 	if m.answers < minAnswers {
 		return 0
 	}
-	mean := m.lasting.mean()
+	mean := m.longMean.mean()
 	ratio := float64(mean) / float64(max(m.reported, 1))
 	if ratio >= reportStep || ratio <= 1/reportStep {
 		m.reported = mean
--- a/core/routing/shares.go
+++ b/core/routing/shares.go
@@ -14,7 +14,7 @@
 	// caller is above its share.
 	minCallerFlows = 4
 	// A listener is flooded from floodPercent as many asked as placed flows on, in percent,
-	// and minFloodFlows more, in the last recentTime.
+	// and minFloodFlows more, in the last shareWindow.
 	floodPercent  = 150
 	minFloodFlows = 4
 	// callerCountsTTL is how long callers are counted after room was short.
@@ -22,7 +22,7 @@
 )
 
 // shareTable holds how much of each service its listeners and callers use: the new flows
-// that this balancer has placed in the last recentTime. Callers reach all balancers
+// that this balancer has placed in the last shareWindow. Callers reach all balancers
 // alike, so each keeps the shares of what it places without asking the others.
 type shareTable struct {
 	mu        sync.Mutex
@@ -30,10 +30,10 @@
 }
 
 type serviceUse struct {
-	placed     recentCount
+	placed     windowCount
 	byListener map[netip.AddrPort]*listenerUse
-	// inUse is the number of listeners that were asked for in the last recentTime, as
-	// counted in a period, see recentPeriod.
+	// inUse is the number of listeners that were asked for in the last shareWindow, as
+	// counted in a period, see windowPeriod.
 	inUse     uint64
 	countedIn int64
 	// callers counts the new flows of callers. It is nil unless room was short within
@@ -43,7 +43,7 @@
 }
 
 // listenerUse are the new flows of one listener.
-type listenerUse struct{ asked, placed recentCount }
+type listenerUse struct{ asked, placed windowCount }
 
 func newShareTable() *shareTable { return &shareTable{byService: make(map[view.ServiceID]*serviceUse)} }
 
@@ -92,17 +92,17 @@
 	}
 	use.countCallers(now, isShort && ws.Contention.CallerShare > 0)
 	return claim{
-		isBelowShare: use.isBelowShare(now, own, ws.Contention),
-		isGreedy:     isShort && use.isGreedy(now, t.Caller.Addr(), ws.Contention),
-		isFlooded:    own.asked.value(now)*100 > floodPercent*own.placed.value(now)+100*minFloodFlows,
+		isBelowShare:       use.isBelowShare(now, own, ws.Contention),
+		isAboveCallerShare: isShort && use.isAboveCallerShare(now, t.Caller.Addr(), ws.Contention),
+		isFlooded:          own.asked.value(now)*100 > floodPercent*own.placed.value(now)+100*minFloodFlows,
 	}
 }
 
 // claim is what a new flow may claim.
 type claim struct {
-	// isBelowShare is set if the listener uses at most its share, isGreedy if the caller
-	// uses more than one caller may while room is short.
-	isBelowShare, isGreedy bool
+	// isBelowShare is set if the listener uses at most its share, isAboveCallerShare if
+	// the caller uses more than one caller may while room is short.
+	isBelowShare, isAboveCallerShare bool
 	// isFlooded is set if far more flows of the listener are asked for than placed.
 	isFlooded bool
 }
@@ -119,7 +119,7 @@
 // countListeners counts the listeners in use. That one is not in use any more is seen
 // with the next period, as its counts are, so that it takes one pass of all in a period.
 func (u *serviceUse) countListeners(now time.Duration, isNew bool) {
-	switch period := recentPeriod(now); {
+	switch period := windowPeriod(now); {
 	case period > u.countedIn:
 		u.inUse, u.countedIn = 0, period
 		for _, l := range u.byListener {
@@ -132,8 +132,8 @@
 	}
 }
 
-// isGreedy reports whether a caller uses more than one caller may.
-func (u *serviceUse) isGreedy(now time.Duration, caller netip.Addr, c Contention) bool {
+// isAboveCallerShare reports whether a caller uses more than one caller may.
+func (u *serviceUse) isAboveCallerShare(now time.Duration, caller netip.Addr, c Contention) bool {
 	if u.callers == nil || c.CallerShare == 0 {
 		return false
 	}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -34,7 +34,8 @@
 	// Timeout is the longest time that a caller waits for a response, Objective the
 	// response time within which a response has its full value.
 	Timeout, Objective time.Duration
-	// Urgency is 0 for the most urgent requests.
+	// Urgency is 0 for the most urgent requests. Neither it nor Idempotent decides anything
+	// yet.
 	Urgency uint8
 	// Idempotent is set if requests may be executed more than once.
 	Idempotent bool
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -67,9 +67,9 @@
 			o.Log.Warn("Lost the lease's connection.", zap.Error(err))
 		}
 		if out.answered {
-			detour.End()
+			detour.Reset()
 		}
-		if out.turnedAway() && detour.Next(len(o.Control())) {
+		if out.turnedAway() && detour.RecordRefusal(len(o.Control())) {
 			continue
 		}
 		pace.Sleep(ctx, pace.Jitter(o.Retry.First))
--- a/internal/phases/phases.go
+++ b/internal/phases/phases.go
@@ -47,7 +47,7 @@
 	defer t.mu.Unlock()
 	p := Phase{Name: name, Milliseconds: t.now().Sub(t.began).Milliseconds()}
 	t.phases = append(t.phases, p)
-	t.log.Info("Ended a phase of the start.", zap.String("phase", p.Name), zap.Int64("ms", p.Milliseconds))
+	t.log.Info("A phase has ended.", zap.String("phase", p.Name), zap.Int64("ms", p.Milliseconds))
 }
 
 // Ended returns the phases that have ended, in the order of their ends.
--- a/internal/segment/balancer.go
+++ b/internal/segment/balancer.go
@@ -99,8 +99,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{
-		options: o, router: routing.NewBalancer(o.Zone), callers: callers, envelopeSocket: sockets, counters: counts, started: o.Now(), cancel: cancel,
-		pool: newPool(o.CommonOptions), decisionCounters: newDecisionCounters(), refusals: newRefusalLog(), placementTimes: newStartTimes(), searchPackets: newPacketBuffer(searchPacketTime), parked: newPacketBuffer(maxParkedTime), held: newHeldPackets(), phases: newBalancerPhases(o.CommonOptions),
+		options: o, router: routing.NewBalancer(o.Zone), callers: callers, envelopeSocket: sockets,
+		counters: counts, started: o.Now(), cancel: cancel, pool: newPool(o.CommonOptions),
+		decisionCounters: newDecisionCounters(), refusals: newRefusalLog(), placementTimes: newStartTimes(),
+		searchPackets: newPacketBuffer(searchPacketTime), parked: newPacketBuffer(maxParkedTime),
+		held: newHeldPackets(), phases: newBalancerPhases(o.CommonOptions),
 		configVersions: make(map[view.ServiceID]view.Version), services: make(map[string]proto.Service),
 	}
 	b.tasks.Go(func() { b.readDatagrams(b.callers, b.receiveFromCaller) })
--- a/internal/segment/fitness.go
+++ b/internal/segment/fitness.go
@@ -42,7 +42,7 @@
 			zap.Duration("before", before.serviceTime), zap.Int("running", j.Running))
 	}
 	if isDue {
-		a.options.Log.Info("Announces a judgement that lasts.", zap.Stringer("verdict", j.Unfitness), zap.Duration("since", now-after.changedAt))
+		a.options.Log.Info("Announcing a lasting judgement.", zap.Stringer("verdict", j.Unfitness), zap.Duration("since", now-after.changedAt))
 		a.requestAnnouncement()
 	}
 }
--- a/internal/segment/metrics.go
+++ b/internal/segment/metrics.go
@@ -93,3 +93,21 @@
 	// Start tells when the phases of the start have ended.
 	Start []phases.Phase `json:"start"`
 }
+
+// refusalCounters count the refused segments of an agent by reason.
+type refusalCounters struct {
+	byReason [routing.RefusalCount]atomic.Uint64
+}
+
+func (r *refusalCounters) count(reason routing.Refusal) { r.byReason[reason].Add(1) }
+
+// counts returns the counts by the reasons' names.
+func (r *refusalCounters) counts() map[string]uint64 {
+	out := make(map[string]uint64)
+	for i := range r.byReason {
+		if n := r.byReason[i].Load(); n > 0 {
+			out[routing.Refusal(i).String()] = n
+		}
+	}
+	return out
+}
--- a/internal/segment/parked.go
+++ b/internal/segment/parked.go
@@ -10,20 +10,13 @@
 // gives up that long after the last copy of its SYN.
 const maxParkedTime = 800 * time.Millisecond
 
-// isEarly reports whether a segment was dropped only because this balancer does not know
-// enough yet: the configuration is not confirmed, or views may lack members.
-func isEarly(s *routing.Segment, d routing.Decision) bool {
-	unknown := d.Reason == routing.ReasonConfigUnconfirmed || d.Reason == routing.ReasonPartialView
-	return d.Verdict == routing.Drop && unknown && !s.HasFlags(routing.RST)
-}
-
 // park keeps the latest packet of a flow that came early. Its number of retransmissions
 // tells how long the caller has waited.
 //
 // It answers the load after a loss of power: callers retransmit 200 ms or more after the
 // packet that came a moment too soon, and are late by that.
 func (b *Balancer) park(now time.Duration, s *routing.Segment, d routing.Decision, payload []byte) {
-	if isEarly(s, d) {
+	if d.IsEarly(s) {
 		b.parked.remove(s.Tuple.ID())
 		b.parked.put(now, s.Tuple.ID(), payload)
 	}
@@ -43,7 +36,7 @@
 			continue // it could be read when it arrived
 		}
 		d := b.router.Steer(now, &h.Segment)
-		if isEarly(&h.Segment, d) {
+		if d.IsEarly(&h.Segment) {
 			b.parked.put(p.bufferedAt, h.Tuple.ID(), p.data)
 			continue
 		}
--- a/internal/segment/refusals.go
+++ b/internal/segment/refusals.go
@@ -38,7 +38,7 @@
 	r.count(s.Tuple.Service, d.Reason)
 	if second := now.Truncate(time.Second); second != r.second {
 		if r.skipped > 0 {
-			log.Info("Refused more flows than lines tell.", zap.Int("flows", r.skipped))
+			log.Info("Refused more flows without a line for each.", zap.Int("flows", r.skipped))
 		}
 		r.second, r.lines, r.skipped = second, 0, 0
 	}
--- a/internal/subscribe/detour.go
+++ b/internal/subscribe/detour.go
@@ -8,9 +8,9 @@
 // wait for its delay while the others serve already.
 type Detour struct{ refusals int }
 
-// Next records that a control process of n has turned the daemon away, and reports
-// whether the next one is to be tried without a delay. After a round it is not.
-func (d *Detour) Next(n int) bool {
+// RecordRefusal records that one of n control processes has turned the daemon away, and
+// reports whether the next one is to be tried without a delay. After a round it is not.
+func (d *Detour) RecordRefusal(n int) (tryNext bool) {
 	d.refusals++
 	if d.refusals < n {
 		return true
@@ -19,5 +19,5 @@
 	return false
 }
 
-// End ends the detour: a control process serves.
-func (d *Detour) End() { d.refusals = 0 }
+// Reset forgets the refusals: a control process serves.
+func (d *Detour) Reset() { d.refusals = 0 }
--- a/internal/subscribe/detour_test.go
+++ b/internal/subscribe/detour_test.go
@@ -63,12 +63,12 @@
 func TestDetourEndsAfterARound(t *testing.T) {
 	is := is.New(t)
 	var d Detour
-	is.True(d.Next(3))
-	is.True(d.Next(3))
-	is.True(!d.Next(3)) // all have turned the daemon away
-	is.True(d.Next(3))
-	d.End()
-	is.True(d.Next(2))
-	is.True(!d.Next(2))
-	is.True(!d.Next(1))
+	is.True(d.RecordRefusal(3))
+	is.True(d.RecordRefusal(3))
+	is.True(!d.RecordRefusal(3)) // all have turned the daemon away
+	is.True(d.RecordRefusal(3))
+	d.Reset()
+	is.True(d.RecordRefusal(2))
+	is.True(!d.RecordRefusal(2))
+	is.True(!d.RecordRefusal(1))
 }
--- a/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -101,9 +101,9 @@
 		o.Log.Warn("Lost control. What is in force stays.", zap.Stringer("control", addr), zap.Error(err))
 		if heard {
 			backoff.Reset()
-			detour.End()
+			detour.Reset()
 		}
-		if !heard && retryAfter == 0 && addr.IsValid() && detour.Next(len(order)) {
+		if !heard && retryAfter == 0 && addr.IsValid() && detour.RecordRefusal(len(order)) {
 			continue
 		}
 		if !pace.Sleep(ctx, backoff.Next(retryAfter)) {
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"fulmarmount.org/fulmarmount/platform/platformtest"
 )
 
 // errProcess is the error type for processes that cannot be run.
@@ -216,10 +218,10 @@
 		"node_name": p.name, "zone": p.zone, "ip_address": p.addr.String(), "seeds": strings.Join(seeds, ","),
 		"data_directory":        filepath.Join(f.folder, "data-"+p.name),
 		"internal_port_range.0": fmt.Sprint(f.ports[portPeers]), "internal_port_range.1": fmt.Sprint(f.ports[portAdmin]),
-		"listen.datagram_address": f.port(p.addr, portPackets).String(), "listen.ready": f.port(p.addr, portReady).String(),
+		platformtest.PacketAddress: f.port(p.addr, portPackets).String(), "listen.ready": f.port(p.addr, portReady).String(),
 		"listen.control": f.port(p.addr, portOperators).String(), "listen.outbound": f.port(p.addr, portOutbound).String(),
 		"app": f.port(p.addr, portBackend).String(), "service": p.service, "fault_tolerance.machines": "1",
-		"bounds.warmup_overshoot": "1", "bounds.warmup_slack": fmt.Sprint(coldFlowLimit - coldRequestRate),
+		platformtest.WarmupOvershoot: "1", platformtest.WarmupSlack: fmt.Sprint(coldFlowLimit - coldRequestRate),
 	}
 	rendered := section.ReplaceAllStringFunc(string(text), func(match string) string {
 		parts := section.FindStringSubmatch(match)
@@ -240,7 +242,7 @@
 // servers.
 func (f *fleet) limitsColdServers() bool {
 	text, err := os.ReadFile(filepath.Join(f.root, "deploy", "control.ini"))
-	return err == nil && strings.Contains(string(text), "{{bounds.warmup_slack}}")
+	return err == nil && strings.Contains(string(text), "{{"+platformtest.WarmupSlack+"}}")
 }
 
 // start starts a process. The log of all its lives is one file.
--- a/tools/soak/operator.go
+++ b/tools/soak/operator.go
@@ -12,6 +12,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"fulmarmount.org/fulmarmount/platform/platformtest"
 )
 
 // route is an address that callers use.
@@ -92,9 +94,7 @@
 		}
 		routes = append(routes, entry)
 	}
-	service := func(name string) map[string]any {
-		return map[string]any{"name": name, "warmup_s": coldTime.Seconds(), "warmup_per_s": coldRequestRate}
-	}
+	service := func(name string) map[string]any { return platformtest.Service(name, coldTime, coldRequestRate) }
 	b, _ := json.Marshal(map[string]any{ // plain values can be encoded
 		"version": d.number, "routes": routes, "limits": map[string]int{"idle_timeout_ms": 15000},
 		"services": []map[string]any{service("desk"), service("hall")},
--- a/tools/soak/server.go
+++ b/tools/soak/server.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"fulmarmount.org/fulmarmount/platform/platformtest"
 )
 
 const (
@@ -309,13 +311,15 @@
 	if draining {
 		state = "draining"
 	}
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"warmup_remaining_ms":%d,"sequence":%d,"born":%d}`,
-		s.service, s.conn.LocalAddr(), s.zone, slots, state, max(coldTime-time.Since(s.born), 0).Milliseconds(), s.sequence, s.born.UnixMilli())
+	report := platformtest.Report{
+		Service: s.service, Address: s.conn.LocalAddr().String(), Zone: s.zone, Version: "v1", Slots: slots, State: state,
+		WarmupRemaining: max(coldTime-time.Since(s.born), 0).Milliseconds(), Sequence: s.sequence, Born: s.born.UnixMilli(),
+	}
 	s.mu.Unlock()
 	if silent {
 		return
 	}
-	status, _ := call(ctx, http.MethodPut, fmt.Sprintf("http://%s/instances/%s", s.reports, id), body)
+	status, _ := call(ctx, http.MethodPut, fmt.Sprintf("http://%s/instances/%s", s.reports, id), report.Encode())
 	if status != http.StatusOK || !draining {
 		return
 	}
