Wait for whichever replica is elected at a start without ticks

The test waited for the replica that starts last to lead. Where the first two are quick they elect one of them before it starts, and messages to a replica that had not started were lost, which a link would keep. Change: messages are sent once all have started, and any leader will do: that is what the test says.

--- a/internal/replica/start_test.go
+++ b/internal/replica/start_test.go
@@ -1,8 +1,6 @@
 package replica
 
 import (
-	"cmp"
-	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -10,20 +8,41 @@
 	"fulmarmount.org/core/quorum"
 )
 
-// Replicas that come back together elect a leader without waiting for their clocks. The
-// last one to start takes precedence here, as no message reaches it before.
+// gatedTransport sends once its gate is closed, so that no message is lost for a replica
+// that has not started yet.
+type gatedTransport struct {
+	Transport
+	gate <-chan struct{}
+}
+
+func (g gatedTransport) Send(to quorum.Member, messages []quorum.Message) {
+	<-g.gate
+	g.Transport.Send(to, messages)
+}
+
+// Replicas that come back together elect a leader without waiting for their clocks.
 func TestReplicasElectALeaderWithoutATick(t *testing.T) {
 	is := is.New(t)
-	stores := memoryStores(t, 3)
-	slices.SortFunc(stores, func(a, b Store) int { return cmp.Compare(a.Replica(), b.Replica()) })
-	c := newCluster(t, stores...)
-	last := c.nodes[stores[2].Replica()]
-	for {
-		soft, changed := last.Leader()
-		if soft.Role == quorum.Leader {
-			break
-		}
-		<-changed
+	gate := make(chan struct{})
+	c := newConfiguredCluster(t, func(o *Options) { o.Transport = gatedTransport{o.Transport, gate} }, memoryStores(t, 3)...)
+	elected := make(chan struct{}, len(c.nodes))
+	for _, n := range c.nodes {
+		go func() {
+			for {
+				soft, changed := n.Leader()
+				if soft.Role == quorum.Leader {
+					elected <- struct{}{}
+					return
+				}
+				select {
+				case <-changed:
+				case <-n.Done():
+					return
+				}
+			}
+		}()
 	}
+	close(gate)
+	<-elected
 	is.Equal(c.elapsedTicks, 0)
 }
