Go by the start of a backend server when its earlier flows are judged

Cause: an agent hears of a start by a later report, and until then delivers SYNs meant for the incarnation before, which the new one accepts. With the report it dropped its records and took itself to know all flows: since it had known another incarnation, or since the report had a low number. Neither shows that no flow was accepted. Searches were told the same by views.

Change: the agent converts the start that the backend server states to its own clock, watching for backward steps, keeps what it delivered or saw answered since, and knows all flows only of an incarnation that is younger than its process. Else it delivers for MaxFlowLifetime, and the backend server bounces.

Against a loss: after a power loss both start together.

Test backend servers state a start. In TestClockStepChangesNoWarmup the start is not credible, so the agent first waits for the time of its limit; that wait is checked as well.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -101,6 +101,12 @@
 	publishedState    view.State
 	// wasListed is set if a view of an earlier epoch may have listed this incarnation.
 	wasListed bool
+	// startedWithAgent is set if the first announcement from the member's address in this
+	// epoch said so, see view.Announcement.
+	startedWithAgent bool
+	// firstPlaced is the number of the first view of the epoch that placed flows on this
+	// incarnation; 0 before it.
+	firstPlaced uint64
 	// firstAccepting and acceptingSince are as in view.BackendServer.
 	firstAccepting, acceptingSince uint64
 }
--- a/core/lease/publish.go
+++ b/core/lease/publish.go
@@ -203,7 +203,7 @@
 		if m.joinedAt == (view.Version{}) {
 			m.joinedAt = version
 		}
-		m.recordAccepting(version.Number)
+		r.recordAccepting(m, version.Number)
 		members[i] = m.backendServer()
 	}
 	v := view.New(s.id, version, members)
@@ -219,7 +219,7 @@
 
 // recordAccepting records whether the view with the given number places new flows on
 // the member.
-func (m *member) recordAccepting(viewNumber uint64) {
+func (r *Registry) recordAccepting(m *member, viewNumber uint64) {
 	b := m.backendServer()
 	if !b.AcceptsNewFlows() {
 		m.acceptingSince = 0
@@ -228,8 +228,11 @@
 	if m.acceptingSince == 0 {
 		m.acceptingSince = viewNumber
 	}
-	if m.firstAccepting == 0 && !m.wasListed {
-		m.firstAccepting = viewNumber
+	if m.firstPlaced == 0 {
+		m.firstPlaced = viewNumber
+	}
+	if !m.wasListed || m.startedWithAgent && r.fleetRestarted() {
+		m.firstAccepting = m.firstPlaced
 	}
 }
 
--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -39,8 +40,11 @@
 	stats        Stats
 	registered   *registeredAgents // nil without durable registrations
 	// hasSurvivors is set once a member is known that views of an earlier epoch may have
-	// listed.
+	// listed. One that has started with its agent is none.
 	hasSurvivors bool
+	// announced holds the packet addresses of the agents that have announced themselves in
+	// this epoch.
+	announced map[netip.AddrPort]bool
 	// weightFunc returns the full weight of a member. Nil means view.FullWeight.
 	weightFunc func(a *view.Announcement) uint32
 }
@@ -74,6 +78,7 @@
 		services:   make(map[view.ServiceID]*service),
 		drainedIDs: make(map[string]bool),
 		evacuated:  make(map[string]bool),
+		announced:  make(map[netip.AddrPort]bool),
 	}
 }
 
@@ -89,8 +94,10 @@
 	r.collectUntil = now + r.options.CollectionPeriod
 	r.partialUntil = now + partialPeriodLeases*r.options.LeaseDuration
 	r.hasSurvivors = len(r.members) > 0
+	clear(r.announced)
 	for _, m := range r.members {
-		m.wasListed, m.firstAccepting, m.acceptingSince = true, 0, 0
+		m.wasListed, m.startedWithAgent = true, false
+		m.firstPlaced, m.firstAccepting, m.acceptingSince = 0, 0, 0
 	}
 	for _, v := range earlierViews {
 		r.restoreView(now, v)
@@ -163,7 +170,8 @@
 	}
 	r.claimAddress(now, m, &a)
 	r.renewLease(now, m, a)
-	r.hasSurvivors = r.hasSurvivors || m.wasListed
+	r.hasSurvivors = r.hasSurvivors || m.wasListed && !m.startedWithAgent
+	r.announced[a.Packets] = true
 	r.recordAnnounced(a.Packets)
 	return nil
 }
@@ -177,7 +185,8 @@
 }
 
 func (r *Registry) addMember(now time.Duration, id view.ServiceID, a view.Announcement) *member {
-	m := &member{id: a.ID, service: id, phase: view.Joining, phaseStart: now, drainedByOperator: r.drainedIDs[a.ID], wasListed: !a.Unlisted}
+	m := &member{id: a.ID, service: id, phase: view.Joining, phaseStart: now, drainedByOperator: r.drainedIDs[a.ID]}
+	r.recordPastUse(m, &a)
 	if r.isCollecting(now) && a.AdoptedVersion != (view.Version{}) {
 		m.phase = view.Ready // it was a member in the previous epoch
 	}
@@ -186,6 +195,14 @@
 	return m
 }
 
+// recordPastUse records what the first announcement of an incarnation tells of flows that
+// were placed on it before.
+func (r *Registry) recordPastUse(m *member, a *view.Announcement) {
+	m.wasListed = !a.Unlisted
+	m.startedWithAgent = a.StartedWithAgent && !r.announced[a.Packets]
+	m.firstPlaced, m.firstAccepting = 0, 0
+}
+
 // isCollecting reports whether the first views of the epoch still wait for
 // announcements. If the registered agents are set, the wait ends once all of them
 // have announced themselves.
@@ -197,7 +214,7 @@
 func (r *Registry) restartMember(now time.Duration, m *member, a *view.Announcement) {
 	m.recordFlap(now, r.options.FlapWindow)
 	m.phase, m.phaseStart, m.joinedAt = view.Joining, now, view.Version{}
-	m.wasListed, m.firstAccepting = !a.Unlisted, 0
+	r.recordPastUse(m, a)
 	if r.isCollecting(now) && a.AdoptedVersion != (view.Version{}) {
 		m.phase = view.Ready
 	}
--- a/core/routing/agent.go
+++ b/core/routing/agent.go
@@ -92,6 +92,9 @@
 	openSeq    uint32 // sequence number of the latest SYN delivered
 	backendFIN bool
 	callerFIN  bool
+	// shownAt is the latest time at which the backend server was sent a SYN of the flow or
+	// has sent a segment of it.
+	shownAt time.Duration
 	// hasRequest is set while a request has no response. It began at requestStart by the
 	// meter's clock. isOverdue is set once it has waited too long.
 	hasRequest, isOverdue bool
@@ -137,9 +140,12 @@
 	idleTimeout    time.Duration
 	// hasAllFlows is set if flows holds every flow of the backend server.
 	hasAllFlows bool
-	// hasReceivedSYN is set once a SYN was delivered to the incarnation.
-	hasReceivedSYN bool
-	flows          map[flow.ID]*backendFlow
+	// lastSYN is when the latest SYN was delivered, to whatever incarnation.
+	lastSYN time.Duration
+	pastUse PastUse
+	// startedWithProcess is set if the incarnation has started just before this process.
+	startedWithProcess bool
+	flows              map[flow.ID]*backendFlow
 	// probes holds the probes for flows that the backend server may own.
 	probes          map[flow.ID]receivedProbe
 	runningRequests uint32
@@ -172,10 +178,11 @@
 	ColdLimit uint32
 }
 
-// NewAgent returns an Agent started at now.
+// NewAgent returns an Agent of a process that has started at now. Earlier processes have
+// delivered segments before now, and none after it.
 func NewAgent(now time.Duration, o AgentOptions) *Agent {
 	a := &Agent{
-		silenceTimeout: o.SilenceTimeout, idleTimeout: o.IdleTimeout, startedAt: now, lastTick: now, isConfigMissing: true, fitness: newFitness(),
+		silenceTimeout: o.SilenceTimeout, idleTimeout: o.IdleTimeout, startedAt: now, lastTick: now, lastSYN: never, isConfigMissing: true, fitness: newFitness(),
 		flows: make(map[flow.ID]*backendFlow), probes: make(map[flow.ID]receivedProbe), routedAddrs: make(map[netip.AddrPort]bool),
 	}
 	a.coldLimit.setUnconfigured(o.ColdLimit)
@@ -204,29 +211,6 @@
 	clear(a.routedAddrs)
 }
 
-// StartIncarnation records a new incarnation of the backend server, and drops the flows
-// of the one before. mayHaveFlows is set if the incarnation may have started, and
-// accepted flows, before this process.
-func (a *Agent) StartIncarnation(incarnation view.Incarnation, mayHaveFlows bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.incarnation = incarnation
-	clear(a.flows)
-	clear(a.probes)
-	a.runningRequests = 0
-	a.meter.reset()
-	a.fitness.reset()
-	a.hasAllFlows = !mayHaveFlows
-	a.hasReceivedSYN = mayHaveFlows
-}
-
-// IsUnused reports whether no flow can have been placed on the incarnation yet.
-func (a *Agent) IsUnused() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.incarnation != 0 && !a.hasReceivedSYN
-}
-
 // SetState records the state that the backend server has reported.
 func (a *Agent) SetState(s BackendState) {
 	a.mu.Lock()
@@ -278,10 +262,10 @@
 	a.trackCaller(now, f, s)
 	switch {
 	case s.OpensFlow():
-		a.hasReceivedSYN = true
+		a.pastUse, a.lastSYN = UsePossible, now
 		a.recordOpening(now, f, s)
 		f = a.touchFlow(now, id)
-		f.balancer, f.openSeq = info.Balancer, s.Seq
+		f.balancer, f.openSeq, f.shownAt = info.Balancer, s.Seq, now
 	case f == nil && len(a.probes) < maxProbes:
 		a.probes[id] = receivedProbe{balancer: info.Balancer, at: now}
 	}
@@ -427,6 +411,7 @@
 		return netip.AddrPort{}
 	}
 	f := a.touchFlow(now, id)
+	f.shownAt = now
 	if s.Length > 0 {
 		a.setRunning(f, false)
 		a.endRequest(now, f, true)
--- a/core/routing/agent_test.go
+++ b/core/routing/agent_test.go
@@ -20,7 +20,11 @@
 func newAgent(state BackendState, hasAllFlows bool) *Agent {
 	a := NewAgent(0, AgentOptions{SilenceTimeout: silenceTimeout, IdleTimeout: 15 * time.Second})
 	a.SetService(testService, view.Version{Epoch: 1, Number: 5}, []netip.AddrPort{address})
-	a.StartIncarnation(testIncarnation, !hasAllFlows)
+	earliest := StartUnknown
+	if hasAllFlows {
+		earliest = 0
+	}
+	a.StartIncarnation(testIncarnation, earliest)
 	if state != BackendUnknown {
 		a.SetState(state)
 	}
@@ -78,7 +82,7 @@
 func TestSYNForCurrentIncarnationNeedsNoConfiguration(t *testing.T) {
 	is := is.New(t)
 	a := NewAgent(0, AgentOptions{SilenceTimeout: silenceTimeout, IdleTimeout: 15 * time.Second})
-	a.StartIncarnation(testIncarnation, false)
+	a.StartIncarnation(testIncarnation, 0)
 	a.SetState(BackendServing)
 	current, earlier := forwardInfo(5), forwardInfo(5)
 	earlier.Incarnation = testIncarnation - 1
@@ -198,7 +202,7 @@
 	}
 	a.Receive(0, syn(2), forwardInfo(5))
 	a.Receive(0, data(2), forwardInfo(5))
-	a.StartIncarnation(testIncarnation+1, false) // a new incarnation owns no flows
+	a.StartIncarnation(testIncarnation+1, time.Second) // a new incarnation owns no flows
 	is.Equal(a.Load(), Load{})
 }
 
--- a/core/routing/coldlimit_test.go
+++ b/core/routing/coldlimit_test.go
@@ -93,7 +93,7 @@
 func TestAgentWithoutConfigurationHoldsItsOwnLimit(t *testing.T) {
 	is := is.New(t)
 	a := NewAgent(0, AgentOptions{SilenceTimeout: time.Hour, IdleTimeout: time.Hour, ColdLimit: 3})
-	a.StartIncarnation(testIncarnation, true)
+	a.StartIncarnation(testIncarnation, StartUnknown)
 	a.SetWarmup(0, time.Hour)
 	a.SetState(BackendServing)
 	now, port := newFlowWindow, 0
--- a/core/routing/evacuation_test.go
+++ b/core/routing/evacuation_test.go
@@ -18,7 +18,7 @@
 	is.True(!a.SetZoneEvacuated(true))
 	is.Equal(a.Receive(testNow, syn(2), forwardInfo(6)).Refusal, RefusalZoneEvacuated) // whatever the balancer knows
 	is.Equal(a.Receive(testNow, data(1), forwardInfo(5)).Refusal, RefusalNone)         // its open flow goes on
-	a.StartIncarnation(testIncarnation+1, false)
+	a.StartIncarnation(testIncarnation+1, testNow)
 	other := forwardInfo(5)
 	other.Incarnation++
 	is.Equal(a.Receive(testNow, syn(3), other).Refusal, RefusalZoneEvacuated) // also of a new backend server
--- a/core/routing/fitness_test.go
+++ b/core/routing/fitness_test.go
@@ -87,7 +87,7 @@
 		change func(a *Agent)
 	}{
 		{"draining", func(a *Agent) { a.SetState(BackendDraining) }},
-		{"another incarnation", func(a *Agent) { a.StartIncarnation(testIncarnation+1, false) }},
+		{"another incarnation", func(a *Agent) { a.StartIncarnation(testIncarnation+1, changeAt) }},
 		{"not asked for", func(a *Agent) { a.SetJudged(false) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/core/routing/play_test.go
+++ b/core/routing/play_test.go
@@ -120,7 +120,7 @@
 func (p *play) startServer(s *playServer, cold time.Duration) {
 	s.listed.Incarnation++
 	s.agent = newAgent(BackendServing, true)
-	s.agent.StartIncarnation(s.listed.Incarnation, false)
+	s.agent.StartIncarnation(s.listed.Incarnation, 0)
 	s.agent.lastTick = p.now
 	s.agent.SetColdLimit(playColdLimit)
 	s.agent.SetWarmup(p.now, cold)
--- a/core/routing/queries.go
+++ b/core/routing/queries.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fulmarmount.org/core/flow"
+	"fulmarmount.org/core/view"
 )
 
 // maxFreshView is the number of views of an epoch during which most flows that a balancer
@@ -33,10 +34,15 @@
 	OwnedByDown // the backend server owned the flow and is down
 )
 
-// Query reports whether the backend server owns a flow that was opened before.
-func (a *Agent) Query(now time.Duration, id flow.ID) Ownership {
+// Query reports whether the backend server owns a flow that was opened before. Balancers
+// ask only about an incarnation that has no flows from before the epoch, see
+// expectsLostFlows. So of one that has started with this process, the agent has all.
+func (a *Agent) Query(now time.Duration, id flow.ID, incarnation view.Incarnation) Ownership {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.startedWithProcess && incarnation == a.incarnation {
+		a.hasAllFlows = true
+	}
 	f := a.flows[id]
 	switch a.checkSegment(now, f, &Segment{}, ForwardInfo{}) {
 	case RefusalBackendDown:
--- a/core/routing/sim_test.go
+++ b/core/routing/sim_test.go
@@ -137,7 +137,7 @@
 	entry := server(len(s.servers) + 1)
 	entry.Zone = fmt.Sprint("zone-", position%s.zones)
 	agent := newAgent(BackendServing, true)
-	agent.StartIncarnation(entry.Incarnation, false)
+	agent.StartIncarnation(entry.Incarnation, 0)
 	agent.SetSlots(simSlots)
 	agent.SetJudged(s.rules.MaxUnfitPercent > 0)
 	s.servers = append(s.servers, &simServer{entry: entry, seed: view.SeedOf(entry.ID), agent: agent, position: position, mutedAt: -time.Hour})
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -264,6 +264,9 @@
 	// Unlisted is set while no view can have listed this incarnation, so that no flow
 	// was placed on it.
 	Unlisted bool `cbor:"17,keyasint,omitempty"`
+	// StartedWithAgent is set while only an earlier process of the agent can have placed
+	// flows on this incarnation: the backend server started just before the agent's process.
+	StartedWithAgent bool `cbor:"24,keyasint,omitempty"`
 	// AnswersQueries is set if the agent tells whether its backend server owns a flow
 	// without a packet of the flow.
 	AnswersQueries bool `cbor:"23,keyasint,omitempty"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,6 +50,9 @@
 	Zones *Zones
 	// Ready is called once every role has started; nil where nobody waits.
 	Ready func()
+	// ProcessStart is when the process started, as Now tells it; zero where several
+	// processes are simulated in one. Every earlier process of its roles had ended then.
+	ProcessStart time.Time
 	// Now is the clock.
 	Now func() time.Time
 	Log *zap.Logger
--- a/internal/node/segments.go
+++ b/internal/node/segments.go
@@ -55,7 +55,7 @@
 	}
 	s := o.Settings.Segments
 	return segment.StartAgent(segment.AgentOptions{
-		CommonOptions: common, Service: s.Service, BackendAddr: s.Backend, OutboundAddr: s.Outbound,
+		CommonOptions: common, ProcessStart: o.ProcessStart, Service: s.Service, BackendAddr: s.Backend, OutboundAddr: s.Outbound,
 		BackendSilenceTimeout: s.Patience, IdleTimeout: s.IdleTimeout, ColdLimit: o.Settings.Warmup.LeastLimit(),
 	})
 }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -23,6 +23,7 @@
 	"fulmarmount.org/fulmarmount/internal/logsink"
 	"fulmarmount.org/fulmarmount/internal/node"
 	"fulmarmount.org/fulmarmount/internal/settings"
+	"fulmarmount.org/fulmarmount/internal/uptime"
 )
 
 // Options are the command line of a process.
@@ -101,6 +102,9 @@
 		return err
 	}
 	o.Inherited = inherited
+	if len(inherited) == 0 {
+		o.ProcessStart = uptime.ProcessStart() // with a handover, the earlier process runs on
+	}
 	dumper, succession := node.NewDumper(o), node.NewSuccession()
 	expvar.Publish("fulmarmount", expvar.Func(dumper.Counters))
 	app := node.New(o, dumper, succession)
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -24,6 +24,9 @@
 // AgentOptions configure an Agent.
 type AgentOptions struct {
 	CommonOptions
+	// ProcessStart is when this process started, as Now tells it. Every earlier process of
+	// the agent had ended then. The zero value means the start of the agent.
+	ProcessStart time.Time
 	// Service is the service assumed until the backend server's first report.
 	Service string
 	// BackendAddr is the address of the backend server.
@@ -59,7 +62,7 @@
 	responseLatency histogram.Histogram
 	requestTimes    startTimes
 	pool            *peer.Pool
-	started         time.Time
+	started         time.Time // of the process
 	ctx             context.Context
 	cancel          context.CancelFunc
 	tasks           sync.WaitGroup
@@ -73,6 +76,7 @@
 	envelopeService atomic.Uint32
 
 	mu      sync.Mutex
+	clock   startClock
 	report  BackendReport
 	service view.ServiceID
 	// announcementCount is the number of announcements since the latest report of the
@@ -96,8 +100,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.ProcessStart.IsZero() {
+		o.ProcessStart = o.Now()
+	}
 	a := &Agent{
-		options: o, outbound: outbound, envelopeSocket: sockets, counters: counts, started: o.Now(), pool: newPool(o.CommonOptions), requestTimes: newStartTimes(),
+		options: o, outbound: outbound, envelopeSocket: sockets, counters: counts, started: o.ProcessStart, pool: newPool(o.CommonOptions), requestTimes: newStartTimes(),
 		announceNow: make(chan struct{}, 1), loadReporter: newLoadReporter(), phases: newAgentPhases(o.CommonOptions),
 	}
 	a.steer = routing.NewAgent(0, routing.AgentOptions{SilenceTimeout: o.BackendSilenceTimeout, IdleTimeout: o.IdleTimeout, ColdLimit: o.ColdLimit})
@@ -320,6 +327,7 @@
 // tick checks the backend server's state and reports its load to balancers.
 func (a *Agent) tick() {
 	now := a.elapsed()
+	a.observeClock()
 	if a.steer.Tick(now) {
 		a.options.Log.Warn("Backend server is down: unresponsive or deregistered.", zap.Stringer("standing", a.steer.State()))
 		a.requestAnnouncement()
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -89,8 +89,10 @@
 // startIncarnation starts a new incarnation of the backend server. The caller holds
 // the lock.
 func (a *Agent) startIncarnation(r BackendReport) {
-	mayHaveFlows := a.report.Incarnation == 0 && !r.startedAfter(a.started)
-	a.steer.StartIncarnation(view.Incarnation(r.Incarnation), mayHaveFlows)
+	earliest := a.earliestStart(&r)
+	a.steer.StartIncarnation(view.Incarnation(r.Incarnation), earliest)
+	a.options.Log.Info("Backend server has started.", zap.String("id", r.ID), zap.Uint64("run", r.Incarnation),
+		zap.Duration("after_process", earliest), zap.Uint8("past_use", uint8(a.steer.PastUse())))
 	a.isAnnounced, a.hasLeft = false, false
 	if r.Service != a.options.Service {
 		a.options.Log.Warn("Backend server reported a different service; subscribing to it.", zap.String("service", r.Service), zap.String("before", a.options.Service))
@@ -171,12 +173,16 @@
 	}
 	a.announcementCount++
 	load := a.steer.Load()
+	pastUse := a.steer.PastUse()
+	if a.isAnnounced {
+		pastUse = routing.UsePossible
+	}
 	isDown := a.steer.IsDown()
 	return view.Announcement{
 		Service: a.report.Service, ID: a.report.ID, Zone: a.options.Zone,
 		Incarnation: view.Incarnation(a.report.Incarnation), Packets: a.conn.Addr(), Requests: a.conn.Addr(),
 		Slots: a.report.Slots, Draining: a.report.Draining || isDown, Healthy: !isDown && !a.fitness.isAnnouncedUnfit,
 		Sequence: a.report.Sequence<<announcementBits + a.announcementCount, Load: load.RunningRequests, Flows: load.Flows, BackendTracksFlows: true, BackendDown: isDown,
-		Unlisted: !a.isAnnounced && a.steer.IsUnused(), AnswersQueries: true,
+		Unlisted: pastUse == routing.UseNone, StartedWithAgent: pastUse == routing.UseBeforeProcess, AnswersQueries: a.steer.AnswersQueries(),
 	}, true
 }
--- a/internal/segment/cold_test.go
+++ b/internal/segment/cold_test.go
@@ -44,6 +44,7 @@
 	is.NoErr(err)
 	t.Cleanup(func() { _ = agent.Stop(context.Background()) })
 	f.waitFor("the agent has its configuration", agent.Ready)
+	cold.startedAt = clock.now()
 	report := cold.report(1)
 	report.WarmupRemaining = 5 * time.Second
 	adjust(&report)
@@ -93,6 +94,7 @@
 	c := f.newCaller()
 	openFlows(c, 1000, 1020)
 	is.NoErr(agent.Stop(context.Background()))
+	clock.advance(time.Millisecond) // the restarted process is younger than the backend server
 	options := f.coldAgent
 	options.SessionID += 1000
 	options.ControlAddrs, options.ColdLimit = subscribe.Fixed(freeAddr(t)), testColdLimit
@@ -156,12 +158,17 @@
 }
 
 // A step of the VM's clock moves the time at which the backend server says that it has
-// started. The warm-up is counted from its report and stays as it was.
+// started. The warm-up is counted from its report and stays as it was. The agent cannot tell
+// whether an earlier process has delivered flows, and waits for the time of its limit.
 func TestClockStepChangesNoWarmup(t *testing.T) {
 	for _, step := range []time.Duration{-24 * time.Hour, 30 * time.Minute} {
 		is := is.New(t)
 		f, cold, agent, clock := startColdFleet(t, func(r *segment.BackendReport) { r.StartedAt = time.Now().Add(step) })
-		openFlows(f.newCaller(), 1000, 1020)
+		c := f.newCaller()
+		openFlows(c, 1000, 1020)
+		is.Equal(cold.flowCount(), 0)
+		clock.advance(1100 * time.Millisecond)
+		f.waitFor("the backend server takes flows", func() bool { openFlows(c, 2000, 2020); return cold.flowCount() > 0 })
 		is.Equal(cold.flowCount(), testColdLimit)
 		is.True(agent.Counters().(segment.AgentCounters).Cold)
 		clock.advance(6 * time.Second)
--- a/internal/segment/query.go
+++ b/internal/segment/query.go
@@ -13,7 +13,7 @@
 func (a *Agent) answerQuery(h *packet.Header) {
 	now := a.elapsed()
 	a.loadReporter.recordPacket(now, h.ReplyTo)
-	switch ownership := a.steer.Query(now, h.Flow.Tuple.ID()); ownership {
+	switch ownership := a.steer.Query(now, h.Flow.Tuple.ID(), h.Flow.TargetIncarnation); ownership {
 	case routing.Owned:
 		a.notifyOwner(h.ReplyTo, h.Flow.Tuple)
 	case routing.OwnershipUnknown:
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -78,9 +78,12 @@
 	conn     *net.UDPConn
 	outbound netip.AddrPort
 	held     netip.AddrPort // requests to this address get no response
-	mu       sync.Mutex
-	flows    map[flow.Tuple]bool
-	delay    time.Duration // of its responses to data
+	// startedAt is after the start of the first agent beside it.
+	startedAt time.Time
+
+	mu    sync.Mutex
+	flows map[flow.Tuple]bool
+	delay time.Duration // of its responses to data
 }
 
 func (h *backendServer) run() {
@@ -270,7 +273,9 @@
 	f.t.Cleanup(func() { _ = conn.Close() })
 	h := &backendServer{name: name, service: service, conn: conn, outbound: freeAddr(f.t), flows: make(map[flow.Tuple]bool)}
 	go h.run()
-	return h, f.startAgent(h)
+	agent := f.startAgent(h)
+	h.startedAt = time.Now()
+	return h, agent
 }
 
 func (f *fleet) startAgent(h *backendServer) *segment.Agent {
@@ -292,7 +297,9 @@
 
 // report returns a report of the backend server.
 func (h *backendServer) report(sequence uint64) segment.BackendReport {
-	return segment.BackendReport{ID: h.name, Service: h.service, Address: h.addr(), Incarnation: 1, Sequence: sequence, Slots: 4}
+	return segment.BackendReport{
+		ID: h.name, Service: h.service, Address: h.addr(), Incarnation: 1, StartedAt: h.startedAt, Sequence: sequence, Slots: 4,
+	}
 }
 
 func (f *fleet) waitFor(what string, done func() bool) {
