Remember every service that a listener has led to while its flows may live

Cause: the document kept the eight latest services of a listener and dropped the others, whatever flows they had. A balancer without a cached owner searches what it is told of, takes that for all, and resets.

Change: not a higher limit but time. A listener keeps each previous service with the time of the change that led it elsewhere, for ten minutes as retired services are kept; flows live one. Control takes back what daemons were told at the end of that time, also where no change follows, so a service without flows costs nothing any more; before, one that was still named stayed for good.

On the same path: a search ended after 64 members of all services together, and flows of a service behind them were never found.

State of earlier releases: the names without times are read and count from the next change (TestPreviousServicesOfEarlierReleaseAreKept).

--- a/core/fleet/document.go
+++ b/core/fleet/document.go
@@ -127,6 +127,9 @@
 	for i := range d.Exceptions {
 		d.Exceptions[i].ExpiresAt = truncateToSeconds(d.Exceptions[i].ExpiresAt)
 	}
+	for i := range d.Listeners {
+		d.Listeners[i].normalizePrevious()
+	}
 	d.RetiredServices = nilIfEmpty(d.RetiredServices)
 	for i := range d.RetiredServices {
 		d.RetiredServices[i].Service.normalize()
--- a/core/fleet/import.go
+++ b/core/fleet/import.go
@@ -23,9 +23,12 @@
 	Urgency uint8 `cbor:"6,keyasint" json:"urgency"`
 	// Idempotent is set if requests may be executed more than once.
 	Idempotent bool `cbor:"7,keyasint" json:"idempotent"`
+	// FormerNames are the names of PreviousServices in the state of earlier releases, which
+	// kept no times. Normalize moves them to PreviousServices.
+	FormerNames []string `cbor:"8,keyasint,omitempty" json:"-"`
 	// PreviousServices are services to which the listener assigned flows earlier and
-	// that may still have such flows. The StateMachine maintains them.
-	PreviousServices []string `cbor:"8,keyasint,omitempty" json:"former,omitempty"`
+	// that may still have such flows, the latest first. The StateMachine maintains them.
+	PreviousServices []PreviousService `cbor:"9,keyasint,omitempty" json:"former,omitempty"`
 }
 
 // WeightedService is a service with its weight among the services of a listener.
@@ -67,43 +70,6 @@
 	return m.newResult(OutcomeAccepted)
 }
 
-// maxPreviousServices limits the PreviousServices of a listener.
-const maxPreviousServices = 8
-
-// recordPreviousServices sets the PreviousServices of the listeners in next from the
-// listeners in previous, at time now. The listeners of both are sorted by address.
-func recordPreviousServices(previous, next *Document, now time.Time) {
-	listeners := previous.Listeners
-	for i := range next.Listeners {
-		l := &next.Listeners[i]
-		for len(listeners) > 0 && listeners[0].Address.Compare(l.Address) < 0 {
-			listeners = listeners[1:]
-		}
-		l.PreviousServices = nil
-		if len(listeners) > 0 && listeners[0].Address == l.Address {
-			l.PreviousServices = previousServices(&listeners[0], l, func(name string) bool {
-				_, ok := previous.asRetired(name, now)
-				return ok || next.Service(name) != nil
-			})
-		}
-	}
-}
-
-// previousServices returns the services that listener previous has, or had earlier, that
-// listener next has not, and that may still have flows.
-func previousServices(previous, next *Listener, mayHaveFlows func(name string) bool) []string {
-	names := make([]string, 0, len(previous.WeightedServices)+len(previous.PreviousServices))
-	for _, w := range previous.WeightedServices {
-		names = append(names, w.Service)
-	}
-	names = append(names, previous.PreviousServices...)
-	names = slices.DeleteFunc(names, func(name string) bool {
-		isCurrent := func(w WeightedService) bool { return w.Service == name }
-		return !mayHaveFlows(name) || slices.ContainsFunc(next.WeightedServices, isCurrent)
-	})
-	return nilIfEmpty(names[:min(len(names), maxPreviousServices)])
-}
-
 // ListenerSectionPrefix is the prefix of the section of a problem of a listener.
 const ListenerSectionPrefix = "listener."
 
--- a/core/fleet/import_test.go
+++ b/core/fleet/import_test.go
@@ -168,7 +168,7 @@
 	}
 	for i, s := range steps {
 		m.Apply(uint64(i+1), importCommand(uint64(i+1), listenerDocument(s.services...)))
-		is.True(slices.Equal(m.Document().Listeners[0].PreviousServices, s.previousServices))
+		is.True(slices.Equal(previousNames(&m.Document().Listeners[0]), s.previousServices))
 	}
 	restored, err := Restore(m.Snapshot())
 	is.NoErr(err)
--- a/core/fleet/retired.go
+++ b/core/fleet/retired.go
@@ -18,10 +18,6 @@
 	RetiredAt time.Time `cbor:"2,keyasint" json:"retired_at"`
 }
 
-// retirementPeriod is how long a service stays retired. It exceeds the longest lifetime
-// of a flow by far, as it is measured by the clocks of several proposers.
-const retirementPeriod = 10 * time.Minute
-
 // Retired returns the retired service with a name, or nil.
 func (d *Document) Retired(name string) *RetiredService {
 	i, ok := slices.BinarySearchFunc(d.RetiredServices, name, func(r RetiredService, name string) int {
@@ -49,7 +45,7 @@
 	if s := d.Service(name); s != nil {
 		return RetiredService{Service: *s, RetiredAt: now}, true
 	}
-	if r := d.Retired(name); r != nil && now.Sub(r.RetiredAt) < retirementPeriod {
+	if r := d.Retired(name); r != nil && now.Sub(r.RetiredAt) < flowRetention {
 		return *r, true
 	}
 	return RetiredService{}, false
@@ -61,7 +57,8 @@
 	next.RetiredServices = nil
 	seen := make(map[string]bool)
 	for i := range next.Listeners {
-		for _, name := range next.Listeners[i].PreviousServices {
+		for _, p := range next.Listeners[i].PreviousServices {
+			name := p.Service
 			if seen[name] || next.Service(name) != nil {
 				continue
 			}
--- a/core/fleet/retired_test.go
+++ b/core/fleet/retired_test.go
@@ -14,6 +14,15 @@
 	return d
 }
 
+// previousNames returns the names of the listener's previous services.
+func previousNames(l *Listener) []string {
+	var names []string
+	for _, p := range l.PreviousServices {
+		names = append(names, p.Service)
+	}
+	return names
+}
+
 // retiredNames returns the names of the retired services.
 func retiredNames(d *Document) []string {
 	var names []string
@@ -39,7 +48,7 @@
 		{"another change", time.Minute, documentOf("catalogue-hall"), []string{"order-desk"}, []string{"order-desk"}},
 		{"it moves once more", 2 * time.Minute, documentOf("archive"), []string{"catalogue-hall", "order-desk"}, []string{"catalogue-hall", "order-desk"}},
 		{"it moves back", 3 * time.Minute, documentOf("order-desk"), []string{"archive", "catalogue-hall"}, []string{"archive", "catalogue-hall"}},
-		{"the first retirement is over", 2*time.Minute + retirementPeriod, documentOf("order-desk"), []string{"archive"}, []string{"archive"}},
+		{"the first retirement is over", 2*time.Minute + flowRetention, documentOf("order-desk"), []string{"archive"}, []string{"archive"}},
 		{"the service is named again", 3 * time.Minute, listenerDocument("order-desk"), []string{"archive"}, []string{"archive"}},
 		{"the listener is removed", 3 * time.Minute, &Document{Defaults: DefaultSettings()}, nil, nil},
 	}
@@ -51,7 +60,7 @@
 			command.ProposedAt = began.Add(s.after)
 			is.Equal(m.Apply(uint64(i+1), command).Outcome, OutcomeAccepted)
 			if len(s.document.Listeners) > 0 {
-				is.Equal(m.Document().Listeners[0].PreviousServices, s.previous)
+				is.Equal(previousNames(&m.Document().Listeners[0]), s.previous)
 			}
 			is.Equal(retiredNames(m.Document()), s.retired)
 			restored, err := Restore(m.Snapshot())
--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -36,7 +36,7 @@
 	ReasonBackendDown                     // the flow's backend server is down
 	ReasonConfigUnconfirmed               // the configuration has not been confirmed as current
 	ReasonProbeTimeout                    // a member did not answer its probe in time
-	ReasonSearchLimit                     // more members than a search may probe
+	ReasonSearchLimit                     // more members of a service than a search may probe
 	ReasonPartialView                     // the view may lack members that own the flow
 	ReasonOverloaded                      // no member can answer another request in time
 	ReasonPlacementLimit                  // too many members have refused the flow
@@ -69,8 +69,6 @@
 	// new flow. They are the first in rendezvous order that accept new flows, so that a
 	// search usually finds the flow within as many probes.
 	maxPlacementCandidates = 3
-	// maxSearchMembers is the number of members that a search may probe.
-	maxSearchMembers = 64
 	// maxPlacementAttempts is the number of members that may refuse a new flow before
 	// it is reset.
 	maxPlacementAttempts = 4
@@ -254,10 +252,9 @@
 // continueSearch forwards a segment to the member to probe next. returnedBy is the seed
 // of the member that has returned the segment, or 0.
 func (b *Balancer) continueSearch(now time.Duration, t *Table, s *Segment, id flow.ID, returnedBy uint64) Decision {
-	members := t.searchOrder(id.Key, s.Tuple.Service)
-	truncated := len(members) > maxSearchMembers
+	members, isTruncated := t.searchOrder(id.Key, s.Tuple.Service)
 	b.loads.sortUnresponsiveLast(members)
-	next := b.searches.nextStep(now, id, members[:min(len(members), maxSearchMembers)], returnedBy)
+	next := b.searches.nextStep(now, id, members, returnedBy)
 	if next.unresponsive != nil {
 		b.loads.markUnresponsive(next.unresponsive)
 	}
@@ -273,7 +270,7 @@
 		return Decision{Verdict: Drop, Reason: ReasonPartialView}
 	case !next.allAnswered:
 		return Decision{Verdict: Drop, Reason: ReasonProbeTimeout}
-	case truncated:
+	case isTruncated:
 		return Decision{Verdict: Drop, Reason: ReasonSearchLimit}
 	case s.HasFlags(RST):
 		return Decision{Verdict: Drop, Reason: ReasonFlowNotFound}
--- a/core/routing/possible_test.go
+++ b/core/routing/possible_test.go
@@ -273,7 +273,7 @@
 				if owner == nil || owner.peer.Incarnation != p.incarnation {
 					continue // the incarnation has ended, and the flow with it
 				}
-				order := table.searchOrder(p.key, address)
+				order, _ := table.searchOrder(p.key, address)
 				if !slices.Contains(order, owner) {
 					t.Fatalf("seed %d, step %d: the search leaves out owner %s", seed, step, owner.id)
 				}
--- a/core/routing/searches.go
+++ b/core/routing/searches.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -47,6 +48,10 @@
 	return &s.probes[len(s.probes)-1]
 }
 
+// hops returns the number of members that were probed before the last one, as far as it
+// fits.
+func (s *search) hops() uint8 { return uint8(min(len(s.probes)-1, math.MaxUint8)) }
+
 // indexOf returns the index of a member's probe, or -1.
 func (s *search) indexOf(seed uint64) int {
 	return slices.IndexFunc(s.probes, func(p probe) bool { return p.seed == seed })
@@ -110,7 +115,7 @@
 	if pending := entry.pendingProbe(); pending != nil && !entry.isExhausted {
 		current := memberWithSeed(members, pending.seed)
 		if current != nil && now-entry.probedAt <= probeTimeout {
-			return searchStep{member: current, hops: uint8(len(entry.probes) - 1)}
+			return searchStep{member: current, hops: entry.hops()}
 		}
 		out.unresponsive = current
 	}
@@ -119,7 +124,7 @@
 			continue
 		}
 		entry.probes, entry.probedAt = append(entry.probes, probe{seed: m.peer.Seed}), now
-		out.member, out.hops = m, uint8(len(entry.probes)-1)
+		out.member, out.hops = m, entry.hops()
 		return out
 	}
 	entry.isExhausted = true
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -220,24 +220,6 @@
 	return out
 }
 
-// servicesToSearch returns the services that may own a flow, the most likely first.
-func (t *Table) servicesToSearch(key uint64, addr netip.AddrPort) []view.ServiceID {
-	services := t.routes[addr].Services
-	var out []view.ServiceID
-	if selected, ok := selectService(key, services); ok {
-		out = append(out, selected.Service)
-	}
-	add := func(id view.ServiceID) {
-		if !slices.Contains(out, id) {
-			out = append(out, id)
-		}
-	}
-	for _, ws := range services {
-		add(ws.Service)
-	}
-	return out
-}
-
 // selectService returns the service for a new flow, by the weights of services. The
 // result is the same on every balancer.
 func selectService(key uint64, services []WeightedService) (WeightedService, bool) {
@@ -316,15 +298,6 @@
 	return out
 }
 
-// searchOrder returns every member that may own the flow of key, the most likely first.
-func (t *Table) searchOrder(key uint64, addr netip.AddrPort) []*member {
-	var out []*member
-	for _, service := range t.servicesToSearch(key, addr) {
-		out = append(out, possibleOwners(t.rankMembers(key, service))...)
-	}
-	return out
-}
-
 // hasCompleteViews reports whether the views of all services that may own a flow of an
 // address are present and complete.
 func (t *Table) hasCompleteViews(key uint64, addr netip.AddrPort) bool {
--- a/internal/role/control/configuration.go
+++ b/internal/role/control/configuration.go
@@ -39,6 +39,9 @@
 	evacuations []fleet.Evacuation
 	// resolver holds the exceptions that had not ended when it was made.
 	resolver *fleet.Resolver
+	// previousEnd is when the first of the listeners' previous services that daemons are
+	// told of ends; zero for none.
+	previousEnd time.Time
 }
 
 // defaults returns the fleet-wide settings.
@@ -102,7 +105,7 @@
 	c.configuration = configuration{revision: m.Revision(), document: m.Document(), drains: m.Drains(), evacuations: m.Evacuations()}
 	now := c.options.Now()
 	c.configuration.resolver = fleet.NewResolver(c.configuration.document, now)
-	services := c.effectiveServices()
+	services := c.effectiveServices(now)
 	c.replaceServices(services)
 	c.registry.SetOptions(c.options.registryOptions(c.configuration.document.Defaults))
 	c.setWeights()
@@ -118,9 +121,10 @@
 		zap.Int("retired", len(c.configuration.document.RetiredServices)))
 }
 
-// effectiveServices returns what daemons are told of all services.
-func (c *term) effectiveServices() []proto.Service {
+// effectiveServices returns what daemons are told of all services at time now.
+func (c *term) effectiveServices(now time.Time) []proto.Service {
 	document := c.configuration.document
+	var previousEnd time.Time
 	inbound := make(map[string][]proto.Inbound)
 	for i := range document.Listeners {
 		l := &document.Listeners[i]
@@ -130,10 +134,14 @@
 				Timeout: l.Timeout, Objective: l.LatencyObjective, Urgency: l.Urgency, Idempotent: l.Idempotent,
 			})
 		}
-		for _, name := range l.PreviousServices {
-			inbound[name] = append(inbound[name], proto.Inbound{Addr: l.Address})
+		for j := range l.PreviousServices {
+			if p := &l.PreviousServices[j]; !p.IsOver(now) {
+				inbound[p.Service] = append(inbound[p.Service], proto.Inbound{Addr: l.Address})
+				previousEnd = earliest(previousEnd, p.End())
+			}
 		}
 	}
+	c.configuration.previousEnd = previousEnd
 	// Retired services stay published: their backend servers may hold open flows.
 	all := document.AllServices()
 	services := make([]proto.Service, len(all))
@@ -171,7 +179,24 @@
 	}
 	c.configuration.resolver = fleet.NewResolver(document, now)
 	c.setWeights()
-	c.replaceServices(c.effectiveServices())
+	c.replaceServices(c.effectiveServices(now))
+}
+
+// expirePreviousServices takes back what daemons are told of previous services of
+// listeners once no flow is open there. The caller holds the lock.
+func (c *term) expirePreviousServices(now time.Time) {
+	if end := c.configuration.previousEnd; end.IsZero() || now.Before(end) {
+		return
+	}
+	c.replaceServices(c.effectiveServices(now))
+}
+
+// earliest returns the earlier of two times, of which the zero time is none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
 }
 
 func (c *term) setServices(services []proto.Service) {
--- a/internal/role/control/term.go
+++ b/internal/role/control/term.go
@@ -154,6 +154,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expireExceptions(c.options.Now())
+	c.expirePreviousServices(c.options.Now())
 	c.changeSeats()
 	c.publishViews()
 	c.notePending(c.options.Now())
--- a/internal/segment/retired_test.go
+++ b/internal/segment/retired_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -68,3 +69,27 @@
 	_, owner := c.sendUntilAnswered(2000, routing.ACK, "who")
 	is.Equal(owner, next.name)
 }
+
+// Guards against resets of flows at a service that their listener has left many moves ago,
+// by a balancer that starts afterwards.
+func TestFlowsOfEveryPreviousServiceSurviveBalancerRestart(t *testing.T) {
+	const moves = 12
+	is := is.New(t)
+	machine := fleetstore.NewStateMachine()
+	store := fleetstore.NewStore(fleetstore.NewLocalLog(machine), machine)
+	f := newFleetWithStore(t, store)
+	importListener(t, store, 1, f.serviceAddr, "desk-0")
+	first, agent := f.startBackendOf("desk-0", "host-0")
+	is.NoErr(agent.HandleReport(first.report(1)))
+	balancer := f.startBalancer(1)
+	c := f.newCaller()
+	flows := openFlowsFrom(c, 1000)
+	for i := 1; i <= moves; i++ {
+		service := fmt.Sprint("desk-", i)
+		importListener(t, store, uint64(1+i), f.serviceAddr, service)
+		h, agent := f.startBackendOf(service, fmt.Sprint("host-", i))
+		f.waitFor("the next service's agent has its configuration", agent.Ready)
+		is.NoErr(agent.HandleReport(h.report(1)))
+	}
+	checkFlows(c, balancer, 1000, flows, "host-0")
+}
