Let a deregistration end only a start that has said that it drains

Cause: a deregistration has an ID and no start. The agent compared the ID alone, marked the present start as left for good and answered that its flows had ended.

Evidence: an agent alone, without control and balancer, shows it.

Change: a backend server that leaves says before that it drains (PROTOCOL, Service discovery), so a deregistration ends the present start only if that start has said so. One that has not gets no new flow until its next report, which brings it back, and its flows go on; if no report comes, its silence ends it. A start that drains, and goes on to say so for longer than a report can be on its way, is back as draining.

Why it works: what ends flows for good now takes two messages, and the first of them names the start. A planned end is as before: flows are reset with the deregistration.

--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -86,8 +86,11 @@
 	// server's incarnation.
 	isAnnounced bool
 	fitness     fitnessLog
-	// hasLeft is set once the backend server's incarnation has deregistered.
-	hasLeft bool
+	// hasLeft is set once the backend server's incarnation has deregistered, at leftAt since
+	// the start of the process. mayHaveLeft is set while the deregistration may have been of
+	// an earlier incarnation.
+	hasLeft, mayHaveLeft bool
+	leftAt               time.Duration
 	// unsubscribe cancels the subscription to the service's configuration.
 	unsubscribe context.CancelFunc
 }
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -59,7 +59,7 @@
 	switch {
 	case r.Incarnation < previous.Incarnation:
 		return ErrStaleReport.New("run %d of %q is older than run %d of %q", r.Incarnation, r.ID, previous.Incarnation, previous.ID)
-	case r.Incarnation == previous.Incarnation && a.hasLeft && !r.StartedAt.IsZero():
+	case a.isOfLeftStart(&r):
 		return ErrStaleReport.New("report %d of %q is of a start that has left", r.Sequence, r.ID)
 	case r.Incarnation == previous.Incarnation && r.Sequence < previous.Sequence:
 		return ErrStaleReport.New("report %d of %q is older than report %d", r.Sequence, r.ID, previous.Sequence)
@@ -71,7 +71,9 @@
 	if r.Draining {
 		state = routing.BackendDraining
 	}
-	hasChanged := r.Incarnation != previous.Incarnation || r.Draining != previous.Draining || r.Slots != previous.Slots
+	hasChanged := r.Incarnation != previous.Incarnation || r.Draining != previous.Draining || r.Slots != previous.Slots ||
+		a.hasLeft || a.mayHaveLeft
+	a.hasLeft, a.mayHaveLeft = false, false
 	a.report, a.announcementCount = r, 0
 	a.steer.SetWarmup(a.elapsed(), r.WarmupRemaining) // before the agent accepts flows
 	a.steer.SetState(state)
@@ -93,7 +95,7 @@
 	a.steer.StartIncarnation(view.Incarnation(r.Incarnation), earliest)
 	a.options.Log.Info("Backend server has started.", zap.String("id", r.ID), zap.Uint64("run", r.Incarnation),
 		zap.Duration("after_process", earliest), zap.Uint8("past_use", uint8(a.steer.PastUse())))
-	a.isAnnounced, a.hasLeft = false, false
+	a.isAnnounced = false
 	if r.Service != a.options.Service {
 		a.options.Log.Warn("Backend server reported a different service; subscribing to it.", zap.String("service", r.Service), zap.String("before", a.options.Service))
 		a.options.Service, a.service = r.Service, 0
@@ -103,20 +105,6 @@
 	}
 }
 
-// Deregister marks the backend server as deregistered.
-func (a *Agent) Deregister(id string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if id != a.report.ID {
-		a.options.Log.Info("Ignored the deregistration of another backend server.", zap.String("id", id))
-		return
-	}
-	a.hasLeft = true
-	a.steer.SetState(routing.BackendDeregistered)
-	a.options.Log.Info("Backend server's state changed.", zap.String("id", id), zap.Stringer("standing", routing.BackendDeregistered))
-	a.requestAnnouncement()
-}
-
 // subscribe subscribes to a service's configuration and cancels the previous
 // subscription.
 func (a *Agent) subscribe(service string) {
@@ -181,7 +169,7 @@
 	return view.Announcement{
 		Service: a.report.Service, ID: a.report.ID, Zone: a.options.Zone,
 		Incarnation: view.Incarnation(a.report.Incarnation), Packets: a.conn.Addr(), Requests: a.conn.Addr(),
-		Slots: a.report.Slots, Draining: a.report.Draining || isDown, Healthy: !isDown && !a.fitness.isAnnouncedUnfit,
+		Slots: a.report.Slots, Draining: a.report.Draining || a.mayHaveLeft || isDown, Healthy: !isDown && !a.fitness.isAnnouncedUnfit,
 		Sequence: a.report.Sequence<<announcementBits + a.announcementCount, Load: load.RunningRequests, Flows: load.Flows, BackendTracksFlows: true, BackendDown: isDown,
 		Unlisted: pastUse == routing.UseNone, StartedWithAgent: pastUse == routing.UseBeforeProcess, AnswersQueries: a.steer.AnswersQueries(),
 	}, true
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -479,6 +479,9 @@
 	f.startBalancer(1)
 	c := f.newCaller()
 	c.sendUntilAnswered(1000, routing.SYN, "")
+	leaving := h.report(2)
+	leaving.Draining = true
+	is.NoErr(agent.HandleReport(leaving))
 	agent.Deregister("host-1")
 	flags, _ := c.sendUntilAnswered(1000, routing.ACK, "who")
 	is.Equal(flags, routing.RST)
--- a/internal/segment/start_flows_test.go
+++ b/internal/segment/start_flows_test.go
@@ -124,3 +124,27 @@
 		})
 	}
 }
+
+// Guards against resets of the flows of a backend server's present start by a late
+// deregistration of the one before.
+func TestLateDeregistrationResetsNoFlow(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	h, agent := f.startBackend("host-1")
+	leaving := h.startedReport(time.Now(), 7)
+	leaving.Draining = true
+	is.NoErr(agent.HandleReport(leaving))
+	h = h.restart(t)
+	startedAt := leaving.StartedAt.Add(time.Second)
+	is.NoErr(agent.HandleReport(h.startedReport(startedAt, 1)))
+	balancer := f.startBalancer(1)
+	c := f.newCaller()
+	flows := openFlowsFrom(c, 1000)
+	agent.Deregister("host-1")
+	for port := 1000; port < 1000+flows; port++ {
+		flags, _ := c.sendUntilAnswered(port, routing.ACK, "who")
+		is.Equal(flags, routing.ACK)
+	}
+	is.NoErr(agent.HandleReport(h.startedReport(startedAt, 2)))
+	checkFlows(c, balancer, 1000, flows, "host-1")
+}
