Reject reports of another service than the settings name

Cause, the same of both: an agent compared the address of a report with its settings, but not the service; another service counted as a change, a later start as a new incarnation.

Evidence: an agent alone applies both reports on the code before: TestLateReportOfAnotherServiceAtTheAddressIsRejected and the new row of TestReportOfAnotherWriterChangesNothing fail there.

Test changed: TestEndOfEvacuationReachesAgentsOfFormerLeader let a backend server change its service under an agent whose settings name one. Its agent has none in the settings now, so that it still subscribes anew.

--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -27,7 +27,7 @@
 	// ProcessStart is when this process started, as Now tells it. Every earlier process of
 	// the agent had ended then. The zero value means the start of the agent.
 	ProcessStart time.Time
-	// Service is the service assumed until the backend server's first report.
+	// Service is the service of the backend server. If it is empty, reports tell it.
 	Service string
 	// BackendAddr is the address of the backend server.
 	BackendAddr netip.AddrPort
@@ -75,10 +75,12 @@
 	// in for service while control cannot be reached.
 	envelopeService atomic.Uint32
 
-	mu      sync.Mutex
-	clock   startClock
-	report  BackendReport
-	service view.ServiceID
+	mu     sync.Mutex
+	clock  startClock
+	report BackendReport
+	// serviceName is the service that the agent subscribes to, and service its ID.
+	serviceName string
+	service     view.ServiceID
 	// announcementCount is the number of announcements since the latest report of the
 	// backend server.
 	announcementCount uint64
@@ -108,7 +110,7 @@
 	}
 	a := &Agent{
 		options: o, outbound: outbound, envelopeSocket: sockets, counters: counts, started: o.ProcessStart, pool: newPool(o.CommonOptions), requestTimes: newStartTimes(),
-		announceNow: make(chan struct{}, 1), loadReporter: newLoadReporter(), phases: newAgentPhases(o.CommonOptions),
+		serviceName: o.Service, announceNow: make(chan struct{}, 1), loadReporter: newLoadReporter(), phases: newAgentPhases(o.CommonOptions),
 	}
 	a.steer = routing.NewAgent(0, routing.AgentOptions{SilenceTimeout: o.BackendSilenceTimeout, IdleTimeout: o.IdleTimeout, ColdLimit: o.ColdLimit})
 	a.ctx, a.cancel = context.WithCancel(context.Background())
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -30,7 +30,10 @@
 // agent. If one with an impossible start or sequence number were applied, each report of
 // the real backend server would be older than it. The caller holds the lock.
 func (a *Agent) checkReport(r *BackendReport) error {
+	isOtherService := a.options.Service != "" && r.Service != a.options.Service
 	switch {
+	case isOtherService:
+		return ErrInvalidReport.New("%q is of service %q, not of %q beside this agent", r.ID, r.Service, a.options.Service)
 	case r.Address != a.options.BackendAddr:
 		return ErrInvalidReport.New("backend server %q is at %s, not beside this agent at %s", r.ID, r.Address, a.options.BackendAddr)
 	case r.Incarnation == 0:
@@ -96,9 +99,9 @@
 	a.options.Log.Info("Backend server has started.", zap.String("id", r.ID), zap.Uint64("run", r.Incarnation),
 		zap.Duration("after_process", earliest), zap.Uint8("past_use", uint8(a.steer.PastUse())))
 	a.isAnnounced = false
-	if r.Service != a.options.Service {
-		a.options.Log.Warn("Backend server reported a different service; subscribing to it.", zap.String("service", r.Service), zap.String("before", a.options.Service))
-		a.options.Service, a.service = r.Service, 0
+	if r.Service != a.serviceName {
+		a.options.Log.Info("Backend server reported its service; subscribing to it.", zap.String("service", r.Service), zap.String("before", a.serviceName))
+		a.serviceName, a.service = r.Service, 0
 		a.envelopeService.Store(0)
 		a.steer.ClearService()
 		a.subscribe(r.Service)
--- a/internal/segment/left_test.go
+++ b/internal/segment/left_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"fulmarmount.org/core/routing"
+	"fulmarmount.org/core/view"
 )
 
 type testRing struct{}
@@ -35,6 +36,12 @@
 // startTestAgent starts an agent without control, and returns it with the address of its
 // backend server.
 func startTestAgent(t *testing.T) (*Agent, netip.AddrPort) {
+	t.Helper()
+	return startTestAgentOf(t, "")
+}
+
+// startTestAgentOf starts an agent whose settings name a service, if it isn't empty.
+func startTestAgentOf(t *testing.T, service string) (*Agent, netip.AddrPort) {
 	t.Helper()
 	is := is.New(t)
 	backend := netip.MustParseAddrPort("127.0.0.1:1")
@@ -44,7 +51,7 @@
 			Name: "agent", EnvelopeAddr: any, ControlAddrs: func() []netip.AddrPort { return nil }, KeyRing: testRing{},
 			TLSConfig: func() *tls.Config { return &tls.Config{} }, Now: time.Now, Log: zap.NewNop(),
 		},
-		BackendAddr: backend, OutboundAddr: any, BackendSilenceTimeout: time.Minute, IdleTimeout: time.Minute,
+		Service: service, BackendAddr: backend, OutboundAddr: any, BackendSilenceTimeout: time.Minute, IdleTimeout: time.Minute,
 	})
 	is.NoErr(err)
 	t.Cleanup(func() { _ = a.Stop(t.Context()) })
@@ -135,12 +142,13 @@
 		{"the largest sequence number", func(r *BackendReport) { r.Sequence = 1<<64 - 1 }},
 		{"no start", func(r *BackendReport) { r.Incarnation = 0 }},
 		{"another service at the same start", func(r *BackendReport) { r.Service = "nobody" }},
+		{"a service that the settings do not name, at a later start", func(r *BackendReport) { r.Service, r.StartedAt = "nobody", now.Add(time.Second) }},
 		{"the address of another VM", func(r *BackendReport) { r.Address = netip.MustParseAddrPort("10.0.0.1:1") }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			a, backend := startTestAgent(t)
+			a, backend := startTestAgentOf(t, "desk")
 			report := BackendReport{
 				ID: "host", Service: "desk", Address: backend, StartedAt: now, Incarnation: uint64(now.UnixMilli()), Sequence: 1, Slots: 2,
 			}
@@ -162,3 +170,29 @@
 		})
 	}
 }
+
+// Guards against requests that run at another service: a late report of a backend server
+// that had the address before came first to the agent of its successor, which then took
+// SYNs for it.
+func TestLateReportOfAnotherServiceAtTheAddressIsRejected(t *testing.T) {
+	is := is.New(t)
+	a, backend := startTestAgentOf(t, "catalogue")
+	earlier := testStart{a, backend, time.Now()}
+	is.True(errorx.IsOfType(earlier.report(7, false), ErrInvalidReport)) // of "desk"
+	_, ok := a.nextAnnouncement()
+	is.True(!ok)
+	syn := routing.Segment{Flags: routing.SYN}
+	syn.Tuple.Caller, syn.Tuple.Service = backend, backend
+	info := routing.ForwardInfo{Incarnation: view.Incarnation(earlier.at.UnixMilli()), ConfigVersion: view.Version{Epoch: 1}}
+	is.Equal(a.steer.Receive(a.elapsed(), &syn, info).Refusal, routing.RefusalOtherIncarnation)
+}
+
+// An agent whose settings name no service learns it from the reports.
+func TestReportsTellTheServiceWhereSettingsDoNot(t *testing.T) {
+	is := is.New(t)
+	a, backend := startTestAgent(t)
+	is.NoErr(testStart{a, backend, time.Now()}.report(1, false))
+	announcement, ok := a.nextAnnouncement()
+	is.True(ok)
+	is.Equal(announcement.Service, "desk")
+}
--- a/internal/segment/zones_test.go
+++ b/internal/segment/zones_test.go
@@ -150,7 +150,8 @@
 }
 
 // A leader that knows no evacuation, since it was ended while an agent had no connection,
-// takes it out of force, also where the agent has subscribed anew meanwhile.
+// takes it out of force, also where the agent has subscribed anew meanwhile. Only an agent
+// whose settings name no service does that.
 func TestEndOfEvacuationReachesAgentsOfFormerLeader(t *testing.T) {
 	for _, service := range []string{"desk", "hall"} {
 		t.Run(service, func(t *testing.T) {
@@ -158,6 +159,12 @@
 			f := newFleet(t)
 			f.nextLeader = freeAddr(t)
 			h, agent := f.startBackend("host-1")
+			is.NoErr(agent.Stop(context.Background()))
+			options := f.agentOptions(h)
+			options.Service = ""
+			agent, err := segment.StartAgent(options)
+			is.NoErr(err)
+			t.Cleanup(func() { _ = agent.Stop(context.Background()) })
 			is.NoErr(agent.HandleReport(h.report(1)))
 			f.evacuate("a")
 			f.waitFor("the agent refuses new flows", isEvacuated(agent))
