Compress the items of services with many listeners

Cause: each change sends a service's whole item, 25 bytes a listener, to each daemon, and the leader's VM needs longer for 58 daemons than the 2 s between two changes.

On the same path: an item may have 1 MiB. A service with more than some 41,000 listeners was never published, though its document was acknowledged.

Tests, on the code before: TestServiceWithTheMostListenersCanBePublished fails (2,533,458 bytes, at most 1,048,576 allowed), TestServiceWithManyListenersFitsTheRateOfADaemon fails (861,564 bytes of 340,000: 20 kB/s for 17 s, docs/DEVELOPERS.md).

Change: an encoding of 16 KiB or more is compressed once for all daemons; 731,652 and 249,002 bytes in these tests. Smaller items are as before.

Left: acknowledgements of such documents still take long. Daemons are to be upgraded before control (docs/operations/upgrades.md).

--- a/internal/proto/item.go
+++ b/internal/proto/item.go
@@ -3,7 +3,6 @@
 import (
 	"strings"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 
 	"fulmarmount.org/core/dissemination"
@@ -48,7 +47,7 @@
 }
 
 func item(key string, version view.Version, content any) (dissemination.Item, error) {
-	body, err := cbor.Marshal(content)
+	body, err := encode(content)
 	if err != nil {
 		return dissemination.Item{}, BadItem.Wrap(err, "encode %q", key)
 	}
@@ -74,7 +73,7 @@
 		u.Removed = append(u.Removed, strings.TrimPrefix(it.Key, servicePrefix))
 	case strings.HasPrefix(it.Key, servicePrefix):
 		var s Service
-		if err := cbor.Unmarshal(it.Body, &s); err != nil {
+		if err := decode(it.Body, &s); err != nil {
 			return BadItem.Wrap(err, "decode %q at %v", it.Key, it.Version)
 		}
 		s.Version = it.Version
@@ -83,13 +82,13 @@
 		u.Zones = &Zones{}
 	case it.Key == ZonesKey:
 		var z Zones
-		if err := cbor.Unmarshal(it.Body, &z); err != nil {
+		if err := decode(it.Body, &z); err != nil {
 			return BadItem.Wrap(err, "decode %q at %v", it.Key, it.Version)
 		}
 		u.Zones = &z
 	case strings.HasPrefix(it.Key, viewPrefix) && !it.Deleted:
 		v := &view.View{}
-		if err := cbor.Unmarshal(it.Body, v); err != nil {
+		if err := decode(it.Body, v); err != nil {
 			return BadItem.Wrap(err, "decode %q at %v", it.Key, it.Version)
 		}
 		v.Prepare()
