Name the past use of a backend server in the log

Cause: an agent's line about a new start told its past use as a number from 0 to 2, which no operator can read without the code. No behaviour changes.

--- a/core/routing/incarnation.go
+++ b/core/routing/incarnation.go
@@ -34,6 +34,11 @@
 	UseNone
 )
 
+var pastUseNames = [...]string{"possible", "before_process", "none"}
+
+// String returns the name of the past use in logs.
+func (u PastUse) String() string { return pastUseNames[u] }
+
 // StartIncarnation records a new incarnation of the backend server, which has started at
 // earliest or later.
 //
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -97,7 +97,7 @@
 	earliest := a.earliestStart(&r)
 	a.steer.StartIncarnation(view.Incarnation(r.Incarnation), earliest)
 	a.options.Log.Info("Backend server has started.", zap.String("id", r.ID), zap.Uint64("run", r.Incarnation),
-		zap.Duration("after_process", earliest), zap.Uint8("past_use", uint8(a.steer.PastUse())))
+		zap.Duration("after_process", earliest), zap.Stringer("past_use", a.steer.PastUse()))
 	a.isAnnounced = false
 	if r.Service != a.serviceName {
 		a.options.Log.Info("Backend server reported its service; subscribing to it.", zap.String("service", r.Service), zap.String("before", a.serviceName))
