--- a/internal/segment/left_test.go
+++ b/internal/segment/left_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,15 @@
 func (testRing) Active() (uint8, []byte)     { return 1, make([]byte, 32) }
 func (testRing) Secret(uint8) ([]byte, bool) { return nil, false }
 
+// manualClock is a clock that only a test moves.
+type manualClock struct {
+	start  time.Time
+	offset atomic.Int64
+}
+
+func (c *manualClock) now() time.Time          { return c.start.Add(time.Duration(c.offset.Load())) }
+func (c *manualClock) advance(d time.Duration) { c.offset.Add(int64(d)) }
+
 // testStart is a start of the backend server of startTestAgent.
 type testStart struct {
 	agent   *Agent
@@ -42,6 +52,12 @@
 
 // startTestAgentOf starts an agent whose settings name a service, if it isn't empty.
 func startTestAgentOf(t *testing.T, service string) (*Agent, netip.AddrPort) {
+	t.Helper()
+	return startTestAgentAt(t, service, time.Now)
+}
+
+// startTestAgentAt starts an agent with a clock.
+func startTestAgentAt(t *testing.T, service string, now func() time.Time) (*Agent, netip.AddrPort) {
 	t.Helper()
 	is := is.New(t)
 	backend := netip.MustParseAddrPort("127.0.0.1:1")
@@ -49,7 +65,7 @@
 	a, err := StartAgent(AgentOptions{
 		CommonOptions: CommonOptions{
 			Name: "agent", EnvelopeAddr: any, ControlAddrs: func() []netip.AddrPort { return nil }, KeyRing: testRing{},
-			TLSConfig: func() *tls.Config { return &tls.Config{} }, Now: time.Now, Log: zap.NewNop(),
+			TLSConfig: func() *tls.Config { return &tls.Config{} }, Now: now, Log: zap.NewNop(),
 		},
 		Service: service, BackendAddr: backend, OutboundAddr: any, BackendSilenceTimeout: time.Minute, IdleTimeout: time.Minute,
 	})
@@ -114,15 +130,14 @@
 // The same while the present start drains: its later reports show that it has not left.
 func TestDrainingBackendServerOutlivesLateDeregistration(t *testing.T) {
 	is := is.New(t)
-	a, backend := startTestAgent(t)
-	now := time.Now()
-	a.options.Now = func() time.Time { return now }
-	start := testStart{a, backend, now}
+	clock := manualClock{start: time.Now()}
+	a, backend := startTestAgentAt(t, "", clock.now)
+	start := testStart{a, backend, clock.now()}
 	is.NoErr(start.report(1, true))
 	a.Deregister("host")
-	now = now.Add(time.Second)
+	clock.advance(time.Second)
 	is.True(errorx.IsOfType(start.report(2, true), ErrStaleReport)) // it may have been on its way
-	now = now.Add(1)
+	clock.advance(1)
 	is.NoErr(start.report(3, true))
 	is.Equal(a.steer.State(), routing.BackendDraining)
 	is.True(!a.steer.IsDown())
--- a/internal/segment/start_test.go
+++ b/internal/segment/start_test.go
@@ -71,11 +71,10 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			a, backend := startTestAgent(t)
-			processStart := a.started
-			startedAt := processStart.Add(-tt.lead).Truncate(time.Millisecond).Add(time.Millisecond)
-			now := processStart.Add(2 * time.Hour)
-			a.options.Now = func() time.Time { return now }
+			clock := manualClock{start: time.Now()}
+			a, backend := startTestAgentAt(t, "", clock.now)
+			startedAt := clock.now().Add(-tt.lead).Truncate(time.Millisecond).Add(time.Millisecond)
+			clock.advance(2 * time.Hour)
 			r := BackendReport{ID: "host", Service: "desk", Address: backend, Incarnation: 9, StartedAt: startedAt, Sequence: tt.sequence, Slots: 2}
 			if tt.noStart {
 				r.StartedAt = time.Time{}
