Hand a test's clock to the replica before it runs

The test replaced the clock of a link whose goroutines run already; a message that arrives reads it. Change: the replica gets the clock when it is made. No check changes.

--- a/internal/replicalink/link_test.go
+++ b/internal/replicalink/link_test.go
@@ -29,6 +29,12 @@
 }
 
 func newTestReplica(t *testing.T, set *keys.Set, id quorum.ReplicaID, role keys.Role) *testReplica {
+	t.Helper()
+	return newTestReplicaAt(t, set, id, role, time.Now)
+}
+
+// newTestReplicaAt returns a replica with a clock.
+func newTestReplicaAt(t *testing.T, set *keys.Set, id quorum.ReplicaID, role keys.Role, now func() time.Time) *testReplica {
 	t.Helper()
 	identity, err := set.Identity(id.String(), time.Now(), role)
 	if err != nil {
@@ -39,7 +45,7 @@
 	})
 	r := &testReplica{received: make(chan []quorum.Message, 100)}
 	options := Options{
-		Self: quorum.Member{ID: id}, Pool: pool, Now: time.Now, Log: zap.NewNop(),
+		Self: quorum.Member{ID: id}, Pool: pool, Now: now, Log: zap.NewNop(),
 		Receive:  func(m []quorum.Message) { r.received <- m },
 		Identity: func() Identity { return Identity{Member: quorum.Member{ID: id}, GroupName: "control"} },
 	}
@@ -116,9 +122,8 @@
 	is := is.New(t)
 	set, err := keys.Ephemeral(time.Now())
 	is.NoErr(err)
-	a, b := newTestReplica(t, set, 1, keys.Control), newTestReplica(t, set, 2, keys.Control)
 	now := time.Now()
-	a.link.options.Now = func() time.Time { return now }
+	a, b := newTestReplicaAt(t, set, 1, keys.Control, func() time.Time { return now }), newTestReplica(t, set, 2, keys.Control)
 	s := a.link.senderFor(b.addr)
 	out := &outgoingStream{openFailedAt: now, nextHello: s.nextHello()}
 	is.True(!s.ensureOpen(out, now)) // within the retry delay
