Pass the vote of a stopping control process to the learner that waits for it

Callers saw: after a planned replacement of one of three control VMs, the loss of another one's disk 1 s later ended the control group. Cause: the group learnt of a departure by silence alone, after 3 s and with a new leader later still, though the process is told that it stops and a learner with the whole log waits. Until then two of three voters were alive, and the next disk was one too many. Change: a stopping process hands leadership over and announces its stop to the leader, which promotes a learner, takes the vote of the stopping replica and keeps it as a learner. A voter without a word is replaced after the greatest election timeout, counted from its latest message, also by a new leader. A learner that has just failed is not promoted, one that has caught up is preferred, and leadership goes to a voter that does not stop too. Conclusion: the next loss is tolerated as soon as a planned departure has ended.

--- a/core/membership/reconciler_test.go
+++ b/core/membership/reconciler_test.go
@@ -16,11 +16,23 @@
 // group is a membership with a set of inactive members.
 type group struct {
 	members  []quorum.Member
-	inactive map[quorum.ReplicaID]bool
+	inactive map[quorum.ReplicaID]bool // since time 0
+	leaving  map[quorum.ReplicaID]bool
+	lagging  map[quorum.ReplicaID]bool
 }
 
-func (g *group) state() State {
-	return State{Self: 1, Members: g.members, IsActive: func(id quorum.ReplicaID) bool { return !g.inactive[id] }}
+func (g *group) state(now time.Duration) State {
+	return State{
+		Self: 1, Members: g.members,
+		SilentFor: func(id quorum.ReplicaID) time.Duration {
+			if g.inactive[id] {
+				return now
+			}
+			return 0
+		},
+		HasCaughtUp: func(id quorum.ReplicaID) bool { return !g.lagging[id] },
+		IsLeaving:   func(id quorum.ReplicaID) bool { return g.leaving[id] },
+	}
 }
 
 // converge applies the Reconciler's changes in the given period and returns them.
@@ -28,7 +40,7 @@
 	t.Helper()
 	var changes []quorum.ConfChange
 	for now := from; now <= to; now += 250 * time.Millisecond {
-		change, ok := r.NextChange(now, g.state())
+		change, ok := r.NextChange(now, g.state(now))
 		if !ok {
 			continue
 		}
@@ -62,10 +74,10 @@
 		{"an inactive voter without a learner to replace it", three, []quorum.ReplicaID{3}, nil},
 		{"a learner that is not needed", append([]quorum.Member{member(4, "d", true)}, three...), nil, nil},
 		{
-			"a learner replaces an inactive voter, which is removed afterwards",
+			"a learner replaces an inactive voter, which is a learner afterwards and is removed later",
 			append([]quorum.Member{member(4, "d", true)}, three...),
 			[]quorum.ReplicaID{3},
-			[]step{{quorum.PromoteLearner, 4}, {quorum.RemoveMember, 3}},
+			[]step{{quorum.PromoteLearner, 4}, {quorum.RemoveMember, 3}, {quorum.AddLearner, 3}, {quorum.RemoveMember, 3}},
 		},
 		{
 			"a replica with a replaced disk rejoins at its address",
@@ -97,7 +109,7 @@
 			is := is.New(t)
 			g := &group{members: c.members, inactive: make(map[quorum.ReplicaID]bool)}
 			r := New(testOptions())
-			r.NextChange(0, State{Self: 1, Members: c.members, IsActive: func(quorum.ReplicaID) bool { return true }})
+			r.NextChange(0, g.state(0))
 			for _, id := range c.inactive {
 				g.inactive[id] = true
 			}
@@ -118,3 +130,58 @@
 	}
 	is.Equal(len(g.converge(t, New(testOptions()), 0, time.Minute)), 0)
 }
+
+// Guards against a group that tolerates one loss less after a planned departure: the
+// vote of a process that has announced its stop passes to a waiting learner at once.
+func TestLeavingVoterIsReplacedAtOnce(t *testing.T) {
+	three := []quorum.Member{member(1, "a", false), member(2, "b", false), member(3, "c", false)}
+	with := func(learners ...quorum.Member) []quorum.Member { return append(learners, three...) }
+	type ids = map[quorum.ReplicaID]bool
+	cases := []struct {
+		name    string
+		members []quorum.Member
+		leaving ids
+		lagging ids
+		want    []quorum.ConfChange
+	}{
+		{"a learner waits", with(member(4, "d", true)), ids{3: true}, nil, []quorum.ConfChange{
+			{Op: quorum.PromoteLearner, Member: member(4, "d", true)},
+			{Op: quorum.RemoveMember, Member: member(3, "c", false)},
+			{Op: quorum.AddLearner, Member: member(3, "c", false)},
+		}},
+		{"no learner waits", three, ids{3: true}, nil, nil},
+		{"the learner leaves too", with(member(4, "d", true)), ids{3: true, 4: true}, nil, nil},
+		{"two leave and one learner waits", with(member(4, "d", true)), ids{2: true, 3: true}, nil, []quorum.ConfChange{
+			{Op: quorum.PromoteLearner, Member: member(4, "d", true)},
+			{Op: quorum.RemoveMember, Member: member(2, "b", false)},
+			{Op: quorum.AddLearner, Member: member(2, "b", false)},
+		}},
+		{"the first of two learners lags", with(member(4, "d", true), member(5, "e", true)), ids{3: true}, ids{4: true}, []quorum.ConfChange{
+			{Op: quorum.PromoteLearner, Member: member(5, "e", true)},
+			{Op: quorum.RemoveMember, Member: member(3, "c", false)},
+			{Op: quorum.AddLearner, Member: member(3, "c", false)},
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			g := &group{members: c.members, leaving: c.leaving, lagging: c.lagging}
+			r := New(testOptions())
+			var got []quorum.ConfChange
+			for range 10 {
+				got = append(got, g.converge(t, r, 0, 0)...)
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// Guards against a new leader that measures the silence of the former one anew, so that
+// the group waits longest for a replacement when the leader itself departs.
+func TestSilenceBeforeFirstCallCounts(t *testing.T) {
+	is := is.New(t)
+	g := &group{members: []quorum.Member{member(1, "a", false), member(2, "b", false), member(3, "c", false), member(4, "d", true)}}
+	g.inactive = map[quorum.ReplicaID]bool{3: true}
+	changes := g.converge(t, New(testOptions()), 3*time.Second, 3*time.Second)
+	is.Equal(changes, []quorum.ConfChange{{Op: quorum.PromoteLearner, Member: member(4, "d", true)}})
+}
--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -7,6 +7,11 @@
 	maxPromotionLagBytes   = 1 << 20 // bytes
 )
 
+// maxPromotionIdleHeartbeats is the number of heartbeats that a learner may have left
+// without a response when it is promoted. A promotion counts from the moment it is
+// appended, so that of a learner that has just failed costs the group a vote.
+const maxPromotionIdleHeartbeats = 3
+
 // ProposeChange proposes one membership change. Only the leader accepts it, one
 // at a time, and only after an entry of its term is committed (thesis, 4.1, and
 // its correction of 2015). The resulting entry carries this replica's ID and
@@ -41,9 +46,12 @@
 func (r *Replica) validateChange(c ConfChange, next Membership) error {
 	if c.Op == PromoteLearner {
 		p := r.progressOf(c.Member.ID)
-		if p == nil || !r.isRecentlyActive(p.ID) || !r.hasCaughtUp(p) {
+		if p == nil || !r.hasCaughtUp(p) {
 			return ErrNotCaughtUp.New("learner %s has not replicated the log up to entry %d", c.Member.ID, r.log.lastIndex())
 		}
+		if p.IdleTicks > maxPromotionIdleHeartbeats*r.config.HeartbeatTicks {
+			return ErrNotCaughtUp.New("learner %s has sent nothing for %d ticks", c.Member.ID, p.IdleTicks)
+		}
 	}
 	if c.Op != AddLearner && !next.hasQuorum(r.isRecentlyActive) {
 		return ErrUnsafeChange.New("%s of replica %s would leave %d voters without a live quorum",
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -160,12 +160,25 @@
 	r.reads = readQueue{}
 	r.progress = nil
 	r.syncProgress()
+	r.adoptIdleTicks()
 	r.appendToLog(Entry{Kind: EntryNoop})
 	r.sendHeartbeats()
 }
 
+// adoptIdleTicks makes the silence of the leader before count from its latest message,
+// not from this replica's election.
+func (r *Replica) adoptIdleTicks() {
+	if p := r.progressOf(r.followedLeader); p != nil {
+		p.IdleTicks = r.followedIdleTicks
+	}
+	r.followedLeader = 0
+}
+
 func (r *Replica) tickLeader() {
 	r.heartbeatElapsed++
+	for _, p := range r.progress {
+		p.IdleTicks++
+	}
 	if r.electionElapsed >= r.config.ElectionTicks {
 		r.electionElapsed = 0
 		r.transferTarget = 0 // thesis, 3.10: abort a transfer that takes longer than an election timeout
--- a/core/quorum/progress.go
+++ b/core/quorum/progress.go
@@ -37,6 +37,13 @@
 	// ActiveSinceCheck reports whether, since the last quorum check, a message arrived
 	// from the replica or this Progress was created.
 	ActiveSinceCheck bool
+	// IdleTicks is the number of ticks since the latest message from the replica or, if
+	// there was none yet, since this Progress was created. For the leader before, it
+	// counts from the latest message of that leader.
+	IdleTicks int
+	// HasCaughtUp reports whether the replica lacks so little of the log that it may be
+	// promoted. Only Status sets it.
+	HasCaughtUp bool
 	// LagBytes is the size of the entries in the log after Match. Only Status sets it.
 	LagBytes int
 
--- a/core/quorum/ready.go
+++ b/core/quorum/ready.go
@@ -153,6 +153,7 @@
 	for _, p := range r.progress {
 		status := *p
 		status.LagBytes = r.log.bytesAfter(p.Match)
+		status.HasCaughtUp = r.hasCaughtUp(p)
 		s.Progress = append(s.Progress, status)
 	}
 	return s
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -76,6 +76,9 @@
 	progress       []*Progress        // leader only: the other members, sorted by ID
 	transferTarget ReplicaID          // target of the current leadership transfer, or 0
 
+	followedLeader    ReplicaID // the latest leader that this replica followed since it last led, or 0
+	followedIdleTicks int       // ticks since the latest message of followedLeader
+
 	reads           readQueue
 	readStates      []ReadState
 	messages        []Message
@@ -126,6 +129,7 @@
 // Tick advances the replica's logical clock by one tick.
 func (r *Replica) Tick() {
 	r.electionElapsed++
+	r.followedIdleTicks++
 	if r.role == Leader {
 		r.tickLeader()
 		return
@@ -143,6 +147,7 @@
 	}
 	if p := r.progressOf(m.From); p != nil {
 		p.ActiveSinceCheck = true
+		p.IdleTicks = 0
 	}
 	switch {
 	case m.Type == MsgPropose:
@@ -248,6 +253,8 @@
 		r.becomeFollower(r.term, m.From)
 	}
 	r.electionElapsed = 0
+	r.followedLeader = m.From
+	r.followedIdleTicks = 0
 }
 
 // send queues m with this replica's ID and cluster and, unless m has a term or
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -4,6 +4,7 @@
 package group
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"path/filepath"
@@ -21,6 +22,10 @@
 	"fulmarmount.org/fulmarmount/internal/replicalink"
 )
 
+// maxElectionTicks is the number of ticks of silence after which every follower replaces
+// the leader, see quorum.Config.ElectionTicks.
+const maxElectionTicks = 2 * quorum.DefaultElectionTicks
+
 // Errors is the namespace of this package's error types.
 var Errors = errorx.NewNamespace("group")
 
@@ -80,13 +85,19 @@
 	link       *replicalink.Link
 	cancel     context.CancelFunc
 	background sync.WaitGroup
-	// lagLoggedAt belongs to reconcileMembership.
-	lagLoggedAt time.Time
+	began      time.Time
+
+	reconcileMu sync.Mutex // held during one reconciliation of the membership
+	// reconciler is nil until this replica leads. It belongs to the term reconcilerTerm.
+	reconciler     *membership.Reconciler
+	reconcilerTerm uint64
+	lagLoggedAt    time.Time
 
-	mu       sync.Mutex
-	node     *replica.Node
-	started  chan struct{} // closed once node and startErr are set
-	startErr error         // why the node could not start
+	mu         sync.Mutex
+	departures map[quorum.ReplicaID]replicalink.Departure
+	node       *replica.Node
+	started    chan struct{} // closed once node and startErr are set
+	startErr   error         // why the node could not start
 }
 
 // store is a replica.Store that can be closed.
@@ -107,17 +118,23 @@
 	if o.openStore == nil {
 		o.openStore = openStore
 	}
+	o.TickInterval = cmp.Or(o.TickInterval, replica.DefaultTickInterval)
+	// A voter is replaced after the silence after which a leader is: pauses that an
+	// election timeout outlasts change nothing.
+	o.Membership.VoterTimeout = cmp.Or(o.Membership.VoterTimeout, maxElectionTicks*o.TickInterval)
 	s, err := o.openStore(disk.Options{Dir: o.Dir})
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Group{
-		options: o, store: s, cancel: cancel, started: make(chan struct{}),
-		self: quorum.Member{ID: s.Replica(), Name: o.Name, Address: o.Addr.String()},
+		options: o, store: s, cancel: cancel, started: make(chan struct{}), began: o.Now(),
+		departures: make(map[quorum.ReplicaID]replicalink.Departure),
+		self:       quorum.Member{ID: s.Replica(), Name: o.Name, Address: o.Addr.String()},
 	}
 	g.link = replicalink.New(replicalink.Options{
-		Self: g.self, Pool: o.Pool, Receive: g.receive, Identity: g.identity, Admit: g.admit, Now: o.Now, Log: o.Log,
+		Self: g.self, Pool: o.Pool, Receive: g.receive, Identity: g.identity, Admit: g.admit, Release: g.release,
+		Now: o.Now, Log: o.Log,
 	})
 	switch {
 	case replica.IsEmpty(s) && len(o.Peers) > 1:
@@ -216,6 +233,7 @@
 		replicalink.KindMessages: g.link.HandleMessages,
 		replicalink.KindIdentify: g.link.HandleIdentify,
 		replicalink.KindJoin:     g.link.HandleJoin,
+		replicalink.KindLeave:    g.link.HandleLeave,
 	}
 }
 
@@ -227,8 +245,12 @@
 	}
 }
 
-// Stop transfers leadership, stops the replica and closes the store.
+// Stop transfers leadership and, where another replica waits for it, the vote; then it
+// stops the replica and closes the store.
 func (g *Group) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	g.leave(ctx)
 	g.cancel()
 	g.background.Wait()
 	var err error
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -77,6 +77,8 @@
 	// requestsJoin makes open start replicas without peers, which request to join
 	// with the peers as seeds.
 	requestsJoin bool
+	// tick replaces the interval of ticks, unless zero. The voter timeout follows it.
+	tick time.Duration
 	// openStore replaces the function that opens stores, unless nil.
 	openStore func(disk.Options) (store, error)
 }
@@ -127,6 +129,9 @@
 		Membership:   membership.Options{TargetVoters: 3, VoterTimeout: time.Second},
 		StateMachine: out.state, Pool: out.pool, Now: time.Now, Log: zap.NewNop(), openStore: b.openStore,
 	}
+	if b.tick != 0 {
+		options.TickInterval, options.Membership.VoterTimeout = b.tick, 0
+	}
 	if b.requestsJoin {
 		options.Peers, options.Seeds = nil, b.addrs
 	}
--- a/internal/group/keep.go
+++ b/internal/group/keep.go
@@ -26,57 +26,66 @@
 	leaderlessTimeout = 2 * time.Second
 	// membershipChangeTimeout limits the duration of one membership change.
 	membershipChangeTimeout = 5 * time.Second
+	// maxChangesAtOnce is the number of changes that one reconciliation makes. To replace
+	// a voter takes three.
+	maxChangesAtOnce = 8
 	// lagLogInterval is the time between log lines about a learner that lags.
 	lagLogInterval = time.Second
 )
 
-// reconcileMembership applies the reconciler's changes while this replica is the
-// leader.
+// reconcileMembership reconciles the membership in intervals while this replica leads.
 func (g *Group) reconcileMembership(ctx context.Context) {
-	began := g.options.Now()
-	var reconciler *membership.Reconciler
-	pace.Every(ctx, reconcileInterval, func() {
-		n := g.currentNode()
-		if n == nil {
-			return
-		}
+	pace.Every(ctx, reconcileInterval, func() { g.reconcile(ctx) })
+}
+
+// reconcile applies the changes that are due, if this replica is the leader. It reports
+// whether none is left.
+func (g *Group) reconcile(ctx context.Context) bool {
+	g.reconcileMu.Lock()
+	defer g.reconcileMu.Unlock()
+	n := g.currentNode()
+	if n == nil {
+		return true
+	}
+	for range maxChangesAtOnce {
 		status := n.Status()
 		if status.Role != quorum.Leader {
-			reconciler = nil
-			return
+			return true
 		}
-		if reconciler == nil {
-			reconciler = membership.New(g.options.Membership)
+		if g.reconciler == nil || g.reconcilerTerm != status.Term {
+			g.reconciler, g.reconcilerTerm = membership.New(g.options.Membership), status.Term
 		}
-		now := g.options.Now().Sub(began)
-		if change, ok := reconciler.NextChange(now, membershipState(status)); ok {
-			g.changeMembership(ctx, n, change)
+		change, ok := g.reconciler.NextChange(g.options.Now().Sub(g.began), g.membershipState(status))
+		if !ok {
+			return true
 		}
-	})
+		if !g.changeMembership(ctx, n, change) {
+			return false
+		}
+	}
+	return false
 }
 
-func membershipState(s replica.Status) membership.State {
-	active := make(map[quorum.ReplicaID]bool, len(s.Progress))
+func (g *Group) membershipState(s replica.Status) membership.State {
+	progress := make(map[quorum.ReplicaID]quorum.Progress, len(s.Progress))
 	for _, p := range s.Progress {
-		active[p.ID] = p.ActiveSinceCheck
+		progress[p.ID] = p
 	}
 	return membership.State{
-		Self: s.ID, Members: s.Membership.Members,
-		IsActive: func(id quorum.ReplicaID) bool { return active[id] },
+		Self: s.ID, Members: s.Membership.Members, IsLeaving: g.isLeaving,
+		SilentFor: func(id quorum.ReplicaID) time.Duration {
+			return time.Duration(progress[id].IdleTicks) * g.options.TickInterval
+		},
+		HasCaughtUp: func(id quorum.ReplicaID) bool { return progress[id].HasCaughtUp },
 	}
 }
 
-// changeMembership proposes one membership change and logs its outcome, unless the
-// learner has not caught up yet.
-func (g *Group) changeMembership(ctx context.Context, n *replica.Node, c quorum.ConfChange) {
+// changeMembership makes one membership change and logs its outcome. It reports whether
+// the change is committed.
+func (g *Group) changeMembership(ctx context.Context, n *replica.Node, c quorum.ConfChange) bool {
 	ctx, cancel := context.WithTimeout(ctx, membershipChangeTimeout)
 	defer cancel()
-	var err error
-	if c.Op == quorum.PromoteLearner {
-		err = n.PromoteLearner(ctx, c.Member.ID)
-	} else {
-		err = n.RemoveMember(ctx, c.Member.ID)
-	}
+	err := n.ChangeMembership(ctx, c)
 	fields := []zap.Field{
 		zap.Stringer("change", c.Op), zap.Stringer("replica", c.Member.ID),
 		zap.String("name", c.Member.Name), zap.String("addr", c.Member.Address),
@@ -86,9 +95,12 @@
 		g.options.Log.Info("Changed the control group's membership.", fields...)
 	case errorx.IsOfType(err, quorum.ErrNotCaughtUp):
 		g.logLag(n.Status(), c.Member)
+	case errorx.IsOfType(err, quorum.ErrChangePending):
+		g.options.Log.Debug("Waits for the change before.", append(fields, zap.Error(err))...)
 	default:
 		g.options.Log.Warn("Could not change the control group's membership.", append(fields, zap.Error(err))...)
 	}
+	return err == nil
 }
 
 // logLag logs how far a learner has caught up, at most every lagLogInterval.
@@ -101,7 +113,7 @@
 	for i := range s.Progress {
 		if p := &s.Progress[i]; p.ID == learner.ID {
 			g.options.Log.Info("A learner has not caught up yet.", zap.Stringer("replica", learner.ID), zap.String("name", learner.Name),
-				zap.Uint64("match", p.Match), zap.Uint64("last", s.LastIndex), zap.Int("lag_bytes", p.LagBytes), zap.Stringer("state", p.State),
+				zap.Uint64("match", p.Match), zap.Uint64("last", s.LastIndex), zap.Int("lag_bytes", p.LagBytes), zap.Stringer("state", p.State), zap.Int("idle_ticks", p.IdleTicks),
 				zap.Int("snapshot_bytes", s.SnapshotBytes), zap.Int("log_bytes", s.LogBytes))
 		}
 	}
--- a/internal/group/presence.go
+++ b/internal/group/presence.go
@@ -12,7 +12,6 @@
 
 	"fulmarmount.org/core/quorum"
 	"fulmarmount.org/fulmarmount/internal/pace"
-	"fulmarmount.org/fulmarmount/internal/replica"
 )
 
 const (
@@ -31,9 +30,6 @@
 // power answers nothing. Only the first is taken for the end of the leader.
 func (g *Group) watchLeader(ctx context.Context) {
 	interval := g.options.TickInterval
-	if interval == 0 {
-		interval = replica.DefaultTickInterval
-	}
 	pace.Every(ctx, interval, func() {
 		n := g.currentNode()
 		if n == nil {
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -17,6 +17,8 @@
 	ErrReadUnconfirmed = Errors.NewType("unconfirmed", errorx.Temporary())
 	// ErrNotLeader rejects a membership change on a replica that is not the leader.
 	ErrNotLeader = Errors.NewType("not_leader", errorx.Temporary())
+	// ErrNoSuccessor reports that no other voter can take over the leadership.
+	ErrNoSuccessor = Errors.NewType("no_successor", errorx.Temporary())
 	// ErrStopped reports that the replica has stopped.
 	ErrStopped = Errors.NewType("stopped", errorx.Temporary())
 	// ErrStateMachine reports that the state machine failed to create or restore a
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -96,6 +98,11 @@
 	return n.proposeChange(ctx, quorum.ConfChange{Op: quorum.RemoveMember, Member: quorum.Member{ID: id}})
 }
 
+// ChangeMembership makes one membership change.
+func (n *Node) ChangeMembership(ctx context.Context, c quorum.ConfChange) error {
+	return n.proposeChange(ctx, c)
+}
+
 func (n *Node) proposeChange(ctx context.Context, c quorum.ConfChange) error {
 	_, err := n.propose(ctx, func(requestID uint64) error {
 		err := n.raft.ProposeChange(requestID, c)
@@ -137,27 +144,46 @@
 // transferOnStopTimeout bounds the leadership transfer during Stop.
 const transferOnStopTimeout = 2 * time.Second
 
-// transferOnStop transfers leadership to the most up-to-date voter, if this replica is
-// the leader.
+// transferOnStop transfers leadership, if this replica is the leader.
 func (n *Node) transferOnStop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, transferOnStopTimeout)
+	defer cancel()
+	err := n.HandOver(ctx, func(quorum.ReplicaID) bool { return false })
+	if err != nil && !errorx.IsOfType(err, ErrNoSuccessor) {
+		n.log.Warn("Leadership transfer at the stop failed; the other voters hold an election.", zap.Error(err))
+	}
+}
+
+// HandOver transfers leadership to the best other voter that is not excluded, and does
+// nothing if this replica is not the leader.
+func (n *Node) HandOver(ctx context.Context, excluded func(quorum.ReplicaID) bool) error {
 	status := n.Status()
 	if status.Role != quorum.Leader {
-		return
+		return nil
 	}
-	var best quorum.Progress
-	for _, p := range status.Progress {
-		if status.Membership.IsVoter(p.ID) && p.State == quorum.StateReplicate && p.Match >= best.Match {
-			best = p
+	best, ok := bestSuccessor(status, excluded)
+	if !ok {
+		return ErrNoSuccessor.New("no other voter can lead")
+	}
+	return n.TransferLeadership(ctx, best)
+}
+
+// bestSuccessor returns the most up-to-date voter among those that were heard last: one
+// that has just failed may hold as much of the log as the others.
+func bestSuccessor(s Status, excluded func(quorum.ReplicaID) bool) (quorum.ReplicaID, bool) {
+	var voters []quorum.Progress
+	for _, p := range s.Progress {
+		if s.Membership.IsVoter(p.ID) && p.State == quorum.StateReplicate && !excluded(p.ID) {
+			voters = append(voters, p)
 		}
 	}
-	if best.ID == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, transferOnStopTimeout)
-	defer cancel()
-	if err := n.TransferLeadership(ctx, best.ID); err != nil {
-		n.log.Warn("Leadership transfer at the stop failed; the other voters hold an election.", zap.Error(err))
+	if len(voters) == 0 {
+		return 0, false
 	}
+	best := slices.MaxFunc(voters, func(a, b quorum.Progress) int {
+		return cmp.Or(cmp.Compare(b.IdleTicks, a.IdleTicks), cmp.Compare(a.Match, b.Match))
+	})
+	return best.ID, true
 }
 
 // handleStepError counts a message that core/quorum rejected. If the message shows
--- a/internal/replicalink/link.go
+++ b/internal/replicalink/link.go
@@ -27,6 +27,8 @@
 	KindIdentify = "replica-identify"
 	// KindJoin carries a Hello and, in response, a JoinResponse.
 	KindJoin = "replica-join"
+	// KindLeave carries a Hello and, in response, a LeaveResponse.
+	KindLeave = "replica-leave"
 )
 
 // Errors is the namespace of this package's error types.
@@ -112,8 +114,10 @@
 	Identity func() Identity
 	// Admit handles the request of a replica to be added.
 	Admit func(ctx context.Context, joining quorum.Member) JoinResponse
-	Now   func() time.Time
-	Log   *zap.Logger
+	// Release handles the announcement of a replica that its process stops.
+	Release func(ctx context.Context, leaving Departure) LeaveResponse
+	Now     func() time.Time
+	Log     *zap.Logger
 }
 
 // Link is a replica.Transport. It is safe for concurrent use.
