--- a/tools/soak/operator.go
+++ b/tools/soak/operator.go
@@ -73,7 +73,7 @@
 		Service string `json:"service"`
 		Weight  uint64 `json:"weight"`
 	}
-	var routes []map[string]any
+	routes := []map[string]any{} // an empty list is a part of a complete document, null is none
 	for _, r := range append(slices.Clone(lasting), routeRare) {
 		services := d.services[r.addr]
 		if len(services) == 0 {
