Tell starts of a backend server apart by who goes on to report

Cause: agent and control put starts in order by the time of day that each tells, which may step back, so the newer start can tell the lower time. The incarnation that it announces grows with each start. Control tells a restarted agent of the same VM the incarnation that it knows.

--- a/core/lease/registry.go
+++ b/core/lease/registry.go
@@ -184,6 +184,16 @@
 	return a.Sequence > latest.Sequence
 }
 
+// IncarnationAt returns the latest incarnation of a member, if it was announced from the VM
+// with an address; else 0.
+func (r *Registry) IncarnationAt(id string, addr netip.Addr) view.Incarnation {
+	m := r.members[id]
+	if m == nil || m.announcement.Packets.Addr() != addr {
+		return 0
+	}
+	return m.announcement.Incarnation
+}
+
 func (r *Registry) addMember(now time.Duration, id view.ServiceID, a view.Announcement) *member {
 	m := &member{id: a.ID, service: id, phase: view.Joining, phaseStart: now, drainedByOperator: r.drainedIDs[a.ID]}
 	r.recordPastUse(m, &a)
--- a/core/lease/restarted_test.go
+++ b/core/lease/restarted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -73,3 +74,18 @@
 		is.Equal(v.Members[1].FirstAccepting, uint64(0))
 	})
 }
+
+// Guards against an agent that is refused for good: it is told the incarnation that its VM
+// has announced, and nothing of one that another VM announces.
+func TestIncarnationIsToldToTheVMThatAnnouncedIt(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(Options{})
+	here, there := netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.2:7000")
+	a := view.Announcement{ID: "a", Incarnation: 5, Sequence: 1, Packets: here, Requests: here}
+	is.NoErr(r.Announce(0, 1, a))
+	a.Incarnation = 3
+	is.True(r.Announce(0, 1, a) != nil)
+	is.Equal(r.IncarnationAt("a", here.Addr()), view.Incarnation(5))
+	is.Equal(r.IncarnationAt("a", there.Addr()), view.Incarnation(0))
+	is.Equal(r.IncarnationAt("b", here.Addr()), view.Incarnation(0))
+}
--- a/core/routing/incarnation.go
+++ b/core/routing/incarnation.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// Renumber records that the present incarnation is known by a later number. The clock that
+// its start was told by has stepped back, so nothing is known of its past.
+func (a *Agent) Renumber(incarnation view.Incarnation) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.incarnation = incarnation
+	a.hasAllFlows, a.startedWithProcess, a.pastUse = false, false, UsePossible
+}
+
 // PastUse returns the past use of the incarnation until the first SYN is delivered to it,
 // and UsePossible from then on.
 func (a *Agent) PastUse() PastUse {
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -33,6 +33,9 @@
 	// Loads are the flows owned by agents of the service, the announcing one
 	// included.
 	Loads []view.Load `cbor:"4,keyasint,omitempty"`
+	// KnownIncarnation is the latest incarnation that was announced from the same VM,
+	// if the announcement was refused for it; else 0.
+	KnownIncarnation view.Incarnation `cbor:"5,keyasint,omitempty"`
 }
 
 // Mode is how a service is balanced.
--- a/internal/role/control/term.go
+++ b/internal/role/control/term.go
@@ -135,7 +135,7 @@
 	}
 	now := c.elapsed()
 	if err := c.registry.Announce(now, service.ID, a); err != nil {
-		return proto.AnnounceReply{Reason: err.Error(), Lease: leaseTime}
+		return proto.AnnounceReply{Reason: err.Error(), Lease: leaseTime, KnownIncarnation: c.registry.IncarnationAt(a.ID, a.Packets.Addr())}
 	}
 	if c.registry.FirstViewsDue(now) {
 		c.publishViews() // callers may wait for the first views
--- a/internal/segment/agent.go
+++ b/internal/segment/agent.go
@@ -78,6 +78,12 @@
 	mu     sync.Mutex
 	clock  startClock
 	report BackendReport
+	starts startOrder
+	// run is the incarnation that is announced for the backend server's start. It is the
+	// time that the start tells, or more: it grows with each start, whatever the clock does.
+	run view.Incarnation
+	// startReports is the number of reports of the present start.
+	startReports uint64
 	// serviceName is the service that the agent subscribes to, and service its ID.
 	serviceName string
 	service     view.ServiceID
--- a/internal/segment/announce.go
+++ b/internal/segment/announce.go
@@ -17,6 +17,10 @@
 // that count the announcements of one report.
 const announcementBits = 24
 
+// minRenumberReports is the number of reports of a start after which it may be announced
+// as later than one that control knows. A single report may be a late one.
+const minRenumberReports = 2
+
 const (
 	// maxReportSequence is the greatest sequence number of a report that fits beside the
 	// low bits.
@@ -59,17 +63,20 @@
 		return err
 	}
 	previous := a.report
+	order := a.starts.classify(a.elapsed(), r.Incarnation, r.Sequence)
 	switch {
-	case r.Incarnation < previous.Incarnation:
-		return ErrStaleReport.New("run %d of %q is older than run %d of %q", r.Incarnation, r.ID, previous.Incarnation, previous.ID)
+	case order == ofEarlierStart:
+		return ErrStaleReport.New("run %d of %q is not known to be newer than run %d of %q", r.Incarnation, r.ID, previous.Incarnation, previous.ID)
 	case a.isOfLeftStart(&r):
 		return ErrStaleReport.New("report %d of %q is of a start that has left", r.Sequence, r.ID)
 	case r.Incarnation == previous.Incarnation && r.Sequence < previous.Sequence:
 		return ErrStaleReport.New("report %d of %q is older than report %d", r.Sequence, r.ID, previous.Sequence)
 	}
-	if r.Incarnation > previous.Incarnation {
-		a.startIncarnation(r)
+	if order != ofCurrentStart {
+		a.startIncarnation(r, order)
 	}
+	a.starts.accept(a.elapsed(), r.Incarnation)
+	a.startReports++
 	state := routing.BackendServing
 	if r.Draining {
 		state = routing.BackendDraining
@@ -93,10 +100,15 @@
 
 // startIncarnation starts a new incarnation of the backend server. The caller holds
 // the lock.
-func (a *Agent) startIncarnation(r BackendReport) {
+func (a *Agent) startIncarnation(r BackendReport, order reportOrder) {
 	earliest := a.earliestStart(&r)
-	a.steer.StartIncarnation(view.Incarnation(r.Incarnation), earliest)
+	if order == ofReturnedStart {
+		earliest = routing.StartUnknown
+	}
+	a.run, a.startReports = max(view.Incarnation(r.Incarnation), a.run+1), 0
+	a.steer.StartIncarnation(a.run, earliest)
 	a.options.Log.Info("Backend server has started.", zap.String("id", r.ID), zap.Uint64("run", r.Incarnation),
+		zap.Uint64("announced_run", uint64(a.run)), zap.Bool("clock_stepped", order == ofReturnedStart),
 		zap.Duration("after_process", earliest), zap.Stringer("past_use", a.steer.PastUse()))
 	a.isAnnounced = false
 	if r.Service != a.serviceName {
@@ -147,12 +159,27 @@
 func (a *Agent) handleAnnounceReply(announcement view.Announcement, reply proto.AnnounceReply) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if reply.Accepted && announcement.Incarnation == view.Incarnation(a.report.Incarnation) {
+	switch {
+	case announcement.Incarnation != a.run:
+	case reply.Accepted:
 		a.isAnnounced = true
 		a.phases.End(phaseAnnounced)
+	case reply.KnownIncarnation > a.run && a.startReports >= minRenumberReports:
+		a.renumber(reply.KnownIncarnation + 1)
 	}
 }
 
+// renumber announces the present start as a later incarnation. Control knows one at this
+// agent's address that an earlier process has announced, and that tells a later time than the
+// backend server's clock did at its present start. The caller holds the lock.
+func (a *Agent) renumber(run view.Incarnation) {
+	a.options.Log.Info("Control knows a later run. Announcing the backend server as a newer one.",
+		zap.Uint64("run", a.report.Incarnation), zap.Uint64("announced_run", uint64(run)))
+	a.run = run
+	a.steer.Renumber(run)
+	a.requestAnnouncement()
+}
+
 // nextAnnouncement returns the next announcement to control, or false before the
 // backend server's first report. The report's sequence number forms the high bits
 // of the announcement's, so that it increases across restarts of the agent.
@@ -171,7 +198,7 @@
 	isDown := a.steer.IsDown()
 	return view.Announcement{
 		Service: a.report.Service, ID: a.report.ID, Zone: a.options.Zone,
-		Incarnation: view.Incarnation(a.report.Incarnation), Packets: a.conn.Addr(), Requests: a.conn.Addr(),
+		Incarnation: a.run, Packets: a.conn.Addr(), Requests: a.conn.Addr(),
 		Slots: a.report.Slots, Draining: a.report.Draining || a.mayHaveLeft || isDown, Healthy: !isDown && !a.fitness.isAnnouncedUnfit,
 		Sequence: a.report.Sequence<<announcementBits + a.announcementCount, Load: load.RunningRequests, Flows: load.Flows, BackendTracksFlows: true, BackendDown: isDown,
 		Unlisted: pastUse == routing.UseNone, StartedWithAgent: pastUse == routing.UseBeforeProcess, AnswersQueries: a.steer.AnswersQueries(),
