Prefer an up-to-date voter to a lagging one when leadership is handed over

Cause: the change of the stopping control process compared the silence of voters tick by tick, so a voter that lagged came before an up-to-date one that was heard one heartbeat earlier; found by reading, not seen. Change: voters heard within three ticks are alike, and of these the most up-to-date one leads. Conclusion: a planned stop of the leader waits for no lagging voter while another one is there.

--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -168,8 +168,11 @@
 	return n.TransferLeadership(ctx, best)
 }
 
-// bestSuccessor returns the most up-to-date voter among those that were heard last: one
-// that has just failed may hold as much of the log as the others.
+// maxSuccessorIdleTicks is the silence after which another voter is preferred.
+const maxSuccessorIdleTicks = 3
+
+// bestSuccessor returns the most up-to-date voter. One that has just failed may hold as much
+// of the log as the others, so those heard of late come first.
 func bestSuccessor(s Status, excluded func(quorum.ReplicaID) bool) (quorum.ReplicaID, bool) {
 	var voters []quorum.Progress
 	for _, p := range s.Progress {
@@ -181,7 +184,8 @@
 		return 0, false
 	}
 	best := slices.MaxFunc(voters, func(a, b quorum.Progress) int {
-		return cmp.Or(cmp.Compare(b.IdleTicks, a.IdleTicks), cmp.Compare(a.Match, b.Match))
+		aSilent, bSilent := max(a.IdleTicks, maxSuccessorIdleTicks), max(b.IdleTicks, maxSuccessorIdleTicks)
+		return cmp.Or(cmp.Compare(bSilent, aSilent), cmp.Compare(a.Match, b.Match))
 	})
 	return best.ID, true
 }
