--- a/core/membership/losses_test.go
+++ b/core/membership/losses_test.go
@@ -83,9 +83,10 @@
 		l.kill(m)
 		l.startAfter(m, down)
 	case 2: // a restart as planned
+		down += (leaveTicks + 1) * tick // it stops before at the latest
 		l.count(down + catchUp)
 		l.terminate(m)
-		l.startAfter(m, leaveTicks*tick+down+tick)
+		l.startAfter(m, down)
 	case 3:
 		l.replace(m)
 	default:
