Say when a stopping process is told that it may stop

Cause: read as a newcomer, three comments said less than the code does: the response also comes when a learner lags, and what a start that tells an earlier time shows. Change: comments only.

--- a/internal/group/leave.go
+++ b/internal/group/leave.go
@@ -101,8 +101,8 @@
 
 // release handles the announcement of a replica that its process stops. The leader
 // has a waiting learner take over the vote and keeps the replica as a learner, which
-// follows at once if it starts again. The response comes when the replica has no vote or
-// no change is left to make.
+// follows at once if it starts again. The response comes when the replica has no vote, when
+// no change is left to make, or after releaseTicks.
 func (g *Group) release(ctx context.Context, d replicalink.Departure) replicalink.LeaveResponse {
 	n := g.currentNode()
 	if n == nil {
--- a/internal/replicalink/leave.go
+++ b/internal/replicalink/leave.go
@@ -21,7 +21,7 @@
 // LeaveResponse is the response to a replica whose process is about to stop.
 type LeaveResponse struct {
 	// Settled is set if the process may stop: another replica has taken over its vote,
-	// or none can.
+	// none can, or one that lags takes it over later.
 	Settled bool `cbor:"1,keyasint"`
 	// LeaderAddress is the address of the leader, if the replica that was asked does not
 	// lead; empty if unknown.
--- a/internal/segment/starts.go
+++ b/internal/segment/starts.go
@@ -37,7 +37,8 @@
 const (
 	ofCurrentStart reportOrder = iota
 	ofNewStart
-	// ofReturnedStart is of a new start too, whose time shows nothing.
+	// ofReturnedStart is of a new start too, but the time that it tells is not later, so
+	// nothing follows from that time.
 	ofReturnedStart
 	ofEarlierStart
 )
